--- /dev/null
+++ b/cmd/magnolialedge/main.go
@@ -0,0 +1,63 @@
+// Command magnolialedge is the load balancer's entry instance and its operators'
+// tool.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"magnolialedge/io/entry"
+)
+
+// version is set by the linker.
+var version = "development"
+
+// Exit codes of the program.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+type commands struct {
+	Entry   entryCommand   `cmd:"" help:"Run an entry instance."`
+	Check   checkCommand   `cmd:"" help:"Validate a document; nothing is sent."`
+	Apply   applyCommand   `cmd:"" help:"Submit a document through an entry."`
+	Resolve resolveCommand `cmd:"" help:"Ask an entry which addresses to use for a service."`
+	Dump    dumpCommand    `cmd:"" help:"Print the state of an entry."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+type versionCommand struct{}
+
+// Run prints the version.
+func (versionCommand) Run() error {
+	fmt.Println("magnolialedge", version)
+	return nil
+}
+
+func main() {
+	var c commands
+	k := kong.Must(&c,
+		kong.Name("magnolialedge"),
+		kong.Description("A load balancer for servers whose load shifts in milliseconds."),
+		kong.UsageOnError(),
+	)
+	ctx, err := k.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "magnolialedge:", err)
+		os.Exit(exitSettings)
+	}
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	if _, ok := err.(*entry.SettingsError); ok {
+		return exitSettings
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,38 @@
+// Command standin runs small stand-ins for what surrounds an entry, and loads
+// and measures entries.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type commands struct {
+	All      allCommand      `cmd:"" help:"Run everything in one process, with a sample document."`
+	Platform platformCommand `cmd:"" help:"Run the platform: key-value service and list of instances."`
+	Upstream upstreamCommand `cmd:"" help:"Run one upstream."`
+	Link     linkCommand     `cmd:"" help:"Run a gateway that adds delay and can be cut or fall silent."`
+	Load     loadCommand     `cmd:"" help:"Call entries as callers do, and print what came back."`
+}
+
+func main() {
+	var c commands
+	k := kong.Must(&c, kong.Name("standin"), kong.Description("Stand-ins and load for magnolialedge."), kong.UsageOnError())
+	parsed, err := k.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/core/call/plan.go
@@ -0,0 +1,227 @@
+package call
+
+import (
+	"time"
+
+	"magnolialedge"
+)
+
+const (
+	// mostAttempts bounds the attempts of one request, hedges included.
+	mostAttempts = 4
+	// mostLost is the number of upstreams that one request may lose. After
+	// it the request is quarantined.
+	mostLost = 2
+)
+
+// Budgets are the process's limits on extra attempts that a Plan asks.
+type Budgets interface {
+	// SpendRetry takes one retry from the budget of the service.
+	SpendRetry() bool
+	// SpendHedge takes one hedge from the budget of the service.
+	SpendHedge() bool
+}
+
+// Result tells how one attempt ended.
+type Result struct {
+	Outcome magnolialedge.Outcome
+	// Status is the upstream's status, or 0 when there was no answer.
+	Status int
+	// Lost tells that the connection broke after the request was written, as
+	// it does when the upstream crashes.
+	Lost bool
+	// NoUpstream tells that no upstream had room.
+	NoUpstream bool
+	// BodyUsed tells that a body that can't be sent again has been read.
+	BodyUsed bool
+}
+
+// Step is what is to be done next.
+type Step int
+
+const (
+	// StepWait waits for the attempts in flight.
+	StepWait Step = iota
+	// StepSend sends an attempt to an upstream not tried before.
+	StepSend
+	// StepRelay relays the answer of the attempt that just ended.
+	StepRelay
+	// StepGiveUp answers with the kind of the action.
+	StepGiveUp
+)
+
+// Action is a decision of a Plan.
+type Action struct {
+	Step Step
+	// Kind and Outcome belong to StepGiveUp.
+	Kind    magnolialedge.Kind
+	Outcome magnolialedge.Outcome
+	// Quarantine tells that the request is to be refused for a while.
+	Quarantine bool
+}
+
+// PlanConfig constructs a Plan.
+type PlanConfig struct {
+	Class    Class
+	Deadline time.Time
+	// Replayable tells that the body can be sent more than once.
+	Replayable bool
+	Budgets    Budgets
+}
+
+// Plan decides on the attempts of one request. It isn't safe for concurrent use.
+type Plan struct {
+	cfg      PlanConfig
+	sent     int
+	inFlight int
+	lost     int
+	unsure   bool
+	done     bool
+}
+
+// NewPlan returns a Plan for one request.
+func NewPlan(cfg PlanConfig) *Plan {
+	return &Plan{cfg: cfg}
+}
+
+// Begin returns the first action.
+func (p *Plan) Begin(now time.Time) Action {
+	if !now.Before(p.cfg.Deadline) {
+		return p.giveUp(magnolialedge.KindDeadlineExceeded)
+	}
+	return p.send()
+}
+
+// HedgeDue decides whether a second attempt is sent beside the first.
+func (p *Plan) HedgeDue(now time.Time) Action {
+	if !p.maySendBeside(now) || !p.cfg.Budgets.SpendHedge() {
+		return Action{Step: StepWait}
+	}
+	return p.send()
+}
+
+// StallDue decides whether a second attempt is sent because the first gives no
+// sign of life. It draws on the retry budget.
+func (p *Plan) StallDue(now time.Time) Action {
+	if !p.maySendBeside(now) || !p.cfg.Budgets.SpendRetry() {
+		return Action{Step: StepWait}
+	}
+	return p.send()
+}
+
+// maySendBeside reports whether an attempt may be sent beside one in flight.
+func (p *Plan) maySendBeside(now time.Time) bool {
+	if p.done || p.cfg.Class != Idempotent || !p.cfg.Replayable || p.lost > 0 {
+		return false
+	}
+	return p.inFlight == 1 && p.sent < mostAttempts && now.Before(p.cfg.Deadline)
+}
+
+// HedgeDropped takes back a hedge for which no upstream had a free slot.
+func (p *Plan) HedgeDropped() {
+	p.inFlight--
+	p.sent--
+}
+
+// Expired ends the request because its deadline has passed.
+func (p *Plan) Expired() Action {
+	if p.done {
+		return Action{Step: StepWait}
+	}
+	p.unsure = p.unsure || p.inFlight > 0
+	return p.giveUp(magnolialedge.KindDeadlineExceeded)
+}
+
+// Ended takes the result of one attempt and decides what follows.
+func (p *Plan) Ended(now time.Time, r Result) Action {
+	p.inFlight--
+	if p.done {
+		return Action{Step: StepWait}
+	}
+	if r.Lost {
+		p.lost++
+	}
+	if r.Outcome != magnolialedge.OutcomeNotRun {
+		p.unsure = true
+	}
+	if r.Status != 0 && !p.worthRetry(r) {
+		p.done = true
+		return Action{Step: StepRelay}
+	}
+	return p.afterFailure(now, r)
+}
+
+// worthRetry reports whether another upstream may answer better.
+func (p *Plan) worthRetry(r Result) bool {
+	if r.Outcome == magnolialedge.OutcomeNotRun {
+		return p.cfg.Replayable || !r.BodyUsed
+	}
+	if p.cfg.Class != Idempotent || !p.cfg.Replayable {
+		return false
+	}
+	switch r.Status {
+	case 500, 502, 503, 504:
+		return true
+	}
+	return false
+}
+
+func (p *Plan) afterFailure(now time.Time, r Result) Action {
+	if p.inFlight > 0 {
+		return Action{Step: StepWait}
+	}
+	if p.lost >= mostLost {
+		a := p.giveUp(magnolialedge.KindQuarantined)
+		a.Quarantine = true
+		return a
+	}
+	if !now.Before(p.cfg.Deadline) {
+		return p.giveUp(magnolialedge.KindDeadlineExceeded)
+	}
+	if r.NoUpstream {
+		return p.giveUp(magnolialedge.KindOverloaded)
+	}
+	if p.maySendAgain(r) && p.cfg.Budgets.SpendRetry() {
+		return p.send()
+	}
+	if r.Status != 0 && r.Outcome != magnolialedge.OutcomeNotRun {
+		p.done = true
+		return Action{Step: StepRelay}
+	}
+	return p.giveUp(kindOfFailure(r))
+}
+
+func (p *Plan) maySendAgain(r Result) bool {
+	if p.sent >= mostAttempts {
+		return false
+	}
+	if r.Outcome == magnolialedge.OutcomeNotRun {
+		return p.cfg.Replayable || !r.BodyUsed
+	}
+	return p.cfg.Class == Idempotent && p.cfg.Replayable
+}
+
+func kindOfFailure(r Result) magnolialedge.Kind {
+	if r.Outcome == magnolialedge.OutcomeNotRun && r.Status != 0 {
+		return magnolialedge.KindOverloaded
+	}
+	if r.Outcome == magnolialedge.OutcomeNotRun {
+		return magnolialedge.KindNoUpstream
+	}
+	return magnolialedge.KindUpstreamLost
+}
+
+func (p *Plan) send() Action {
+	p.sent++
+	p.inFlight++
+	return Action{Step: StepSend}
+}
+
+func (p *Plan) giveUp(kind magnolialedge.Kind) Action {
+	p.done = true
+	outcome := magnolialedge.OutcomeNotRun
+	if p.unsure {
+		outcome = magnolialedge.OutcomeUnknown
+	}
+	return Action{Step: StepGiveUp, Kind: kind, Outcome: outcome}
+}
--- /dev/null
+++ b/core/proc/robin.go
@@ -0,0 +1,40 @@
+package proc
+
+import (
+	"slices"
+	"time"
+
+	"magnolialedge"
+)
+
+// RoundRobin is the naive picker: it takes the targets in turn and heeds only
+// the document. It serves as the baseline of measurements.
+type RoundRobin struct {
+	targets []magnolialedge.Target
+	next    int
+}
+
+// NewRoundRobin returns a RoundRobin over targets that starts at place start.
+func NewRoundRobin(targets []magnolialedge.Target, start int) *RoundRobin {
+	return &RoundRobin{targets: targets, next: start}
+}
+
+// Pick implements magnolialedge.Picker.
+func (p *RoundRobin) Pick(_ time.Time, req magnolialedge.PickRequest) (magnolialedge.Pick, bool) {
+	for range p.targets {
+		i := p.next % len(p.targets)
+		p.next++
+		t := p.targets[i]
+		if t.Draining() || slices.Contains(req.Avoid, t.Address) {
+			continue
+		}
+		return magnolialedge.Pick{Address: t.Address}, true
+	}
+	return magnolialedge.Pick{}, false
+}
+
+// Done implements magnolialedge.Picker.
+func (p *RoundRobin) Done(time.Time, magnolialedge.Attempt) {}
+
+// Report implements magnolialedge.Picker.
+func (p *RoundRobin) Report(time.Time, string, magnolialedge.LoadReport) {}
--- /dev/null
+++ b/core/proc/service.go
@@ -0,0 +1,191 @@
+package proc
+
+import (
+	"time"
+
+	"magnolialedge"
+)
+
+const (
+	// stallFactor is the multiple of the mean latency after which an attempt
+	// without an answer counts as stalled.
+	stallFactor = 8
+	// leastStall bounds the time to a stall from below.
+	leastStall = 300 * time.Millisecond
+)
+
+// ServiceConfig constructs a Service.
+type ServiceConfig struct {
+	BalancerConfig
+	// Naive replaces the decisions by round robin without hedges, queue or
+	// limits.
+	Naive bool
+}
+
+// Service holds the decisions of one entry for one service: picking, waiting,
+// retry and hedge budgets. It isn't safe for concurrent use.
+type Service struct {
+	magnolialedge.Picker
+	cfg      ServiceConfig
+	balancer *Balancer
+	queue    Queue
+	hedger   *Hedger
+	retries  *ShareBudget
+	rate     Rate
+}
+
+// NewService returns a Service.
+func NewService(cfg ServiceConfig) *Service {
+	s := &Service{
+		cfg:     cfg,
+		hedger:  NewHedger(cfg.Service.HedgePercent),
+		retries: NewShareBudget(cfg.Service.RetryPercent),
+	}
+	if cfg.Naive {
+		s.hedger = NewHedger(0)
+		s.Picker = NewRoundRobin(cfg.Service.Targets, int(cfg.Seed%1024))
+		return s
+	}
+	s.balancer = NewBalancer(cfg.BalancerConfig)
+	s.Picker = s.balancer
+	return s
+}
+
+// Config returns the service's part of the document.
+func (s *Service) Config() magnolialedge.Service {
+	return s.cfg.Service
+}
+
+// WithVersion returns a Service for another version of the document that keeps
+// what s has learned, its attempts in flight and its waiters.
+func (s *Service) WithVersion(cfg ServiceConfig) *Service {
+	next := NewService(cfg)
+	next.rate = s.rate
+	next.queue = s.queue
+	if s.balancer != nil && next.balancer != nil {
+		next.balancer.Inherit(s.balancer)
+	}
+	next.hedger.delay = s.hedger.delay
+	return next
+}
+
+// SkipWarmUp treats every target as warm.
+func (s *Service) SkipWarmUp() {
+	if s.balancer != nil {
+		s.balancer.SkipWarmUp()
+	}
+}
+
+// Steered sets the number of entries that share the service in the region.
+func (s *Service) Steered(share int) {
+	if s.balancer != nil {
+		s.balancer.SetShare(share)
+	}
+}
+
+// Arrive counts one request from a caller.
+func (s *Service) Arrive(now time.Time) {
+	s.rate.Count(now)
+}
+
+// Rate returns the requests a second that this entry gets.
+func (s *Service) Rate(now time.Time) float64 {
+	return s.rate.At(now)
+}
+
+// Succeeded counts one useful answer, which earns retry budget.
+func (s *Service) Succeeded() {
+	s.retries.Earn()
+}
+
+// SpendRetry implements call.Budgets.
+func (s *Service) SpendRetry() bool {
+	return s.retries.Spend()
+}
+
+// SpendHedge implements call.Budgets.
+func (s *Service) SpendHedge() bool {
+	return s.hedger.Spend()
+}
+
+// Hedger returns the control of the hedge delay.
+func (s *Service) Hedger() *Hedger {
+	return s.hedger
+}
+
+// StallAfter returns the time after which an attempt counts as stalled.
+func (s *Service) StallAfter() time.Duration {
+	if s.balancer == nil {
+		return 0
+	}
+	return max(leastStall, stallFactor*s.balancer.Mean())
+}
+
+// Enqueue lets w wait for room. False means that it would wait in vain.
+func (s *Service) Enqueue(now time.Time, w *Waiter) bool {
+	if s.balancer == nil {
+		return false
+	}
+	return s.queue.Push(now, w, s.balancer.Capacity(now), s.balancer.Mean())
+}
+
+// Leave takes w out of the queue and reports whether it still waited.
+func (s *Service) Leave(w *Waiter) bool {
+	return s.queue.Remove(w)
+}
+
+// WakeNext gives free room to the waiters with the earliest deadlines.
+func (s *Service) WakeNext(now time.Time) {
+	for {
+		w := s.queue.Peek()
+		if w == nil {
+			return
+		}
+		pick, ok := s.Pick(now, w.Request)
+		if !ok {
+			return
+		}
+		s.queue.Remove(w)
+		w.Wake(pick)
+	}
+}
+
+// Waiting returns the number of requests that wait for room.
+func (s *Service) Waiting() int {
+	return s.queue.Len()
+}
+
+// DrainTarget marks a target as draining on the word of a peer.
+func (s *Service) DrainTarget(now time.Time, address string) {
+	s.Report(now, address, magnolialedge.LoadReport{Draining: true})
+}
+
+// Trip takes the round trip that a new connection to a target showed.
+func (s *Service) Trip(address string, trip time.Duration) {
+	if s.balancer != nil {
+		s.balancer.Trip(address, trip)
+	}
+}
+
+// ServiceState is a service as a dump shows it.
+type ServiceState struct {
+	Name         string          `json:"name"`
+	Rate         float64         `json:"rate"`
+	Waiting      int             `json:"waiting"`
+	HedgeDelayMs float64         `json:"hedgeDelayMs"`
+	Upstreams    []UpstreamState `json:"upstreams,omitempty"`
+}
+
+// State returns the service as a dump shows it.
+func (s *Service) State(now time.Time) ServiceState {
+	st := ServiceState{
+		Name:         s.cfg.Service.Name,
+		Rate:         s.Rate(now),
+		Waiting:      s.queue.Len(),
+		HedgeDelayMs: s.hedger.delay / float64(time.Millisecond),
+	}
+	if s.balancer != nil {
+		st.Upstreams = s.balancer.State(now)
+	}
+	return st
+}
--- /dev/null
+++ b/core/proc/steer.go
@@ -0,0 +1,51 @@
+package proc
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnolialedge"
+)
+
+const (
+	// ResolveLife is how long a caller may keep a resolve answer.
+	ResolveLife = 5 * time.Second
+	// leastSteered is the least number of entries that share a service.
+	leastSteered = 2
+	// entryRate is the number of requests a second that one entry is given of
+	// one service before another entry is added.
+	entryRate = 2000
+)
+
+// Steer returns the entries of region that serve service, best first, followed
+// by the region's others as spares. rate is the service's requests a second in
+// the region. When the region has no live entry, those of other regions serve.
+// The second result is the number of entries that share the traffic.
+func Steer(all []magnolialedge.Instance, region, service string, rate float64) ([]magnolialedge.Instance, int) {
+	live := liveIn(all, region)
+	if len(live) == 0 {
+		live = liveIn(all, "")
+	}
+	slices.SortFunc(live, func(a, b magnolialedge.Instance) int {
+		return cmp.Or(cmp.Compare(weight(b, service), weight(a, service)), cmp.Compare(a.Name, b.Name))
+	})
+	wanted := max(leastSteered, int(rate/entryRate)+2)
+	return live, min(wanted, len(live))
+}
+
+func liveIn(all []magnolialedge.Instance, region string) []magnolialedge.Instance {
+	var live []magnolialedge.Instance
+	for _, in := range all {
+		if !in.Leaving && (region == "" || in.Region == region) {
+			live = append(live, in)
+		}
+	}
+	return live
+}
+
+func weight(in magnolialedge.Instance, service string) uint64 {
+	return xxhash.Sum64String(in.Name + "\x00" + service)
+}
--- /dev/null
+++ b/core/vers/holder.go
@@ -0,0 +1,24 @@
+package vers
+
+import (
+	"magnolialedge"
+)
+
+// Holder holds the version in force and moves only to higher revisions.
+type Holder struct {
+	version magnolialedge.Version
+}
+
+// Version returns the version in force; revision 0 stands for none.
+func (h *Holder) Version() magnolialedge.Version {
+	return h.version
+}
+
+// Adopt puts v in force if its revision is higher, and reports whether it did.
+func (h *Holder) Adopt(v magnolialedge.Version) bool {
+	if v.Revision <= h.version.Revision {
+		return false
+	}
+	h.version = v
+	return true
+}
--- /dev/null
+++ b/core/vers/parse.go
@@ -0,0 +1,104 @@
+package vers
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"magnolialedge"
+)
+
+// MostDocumentBytes is the greatest size of a document: what a value of the
+// key-value service holds.
+const MostDocumentBytes = 1 << 20
+
+//go:embed schema.json
+var schemaText []byte
+
+var compiledSchema = sync.OnceValues(compileSchema)
+
+func compileSchema() (*jsonschema.Schema, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		return nil, err
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("document.json", doc); err != nil {
+		return nil, err
+	}
+	return c.Compile("document.json")
+}
+
+// Parse reads a document and checks its shape and its meaning. The error is
+// Faults when the document is to blame.
+func Parse(data []byte) (magnolialedge.Document, error) {
+	var doc magnolialedge.Document
+	if len(data) > MostDocumentBytes {
+		return doc, Faults{{Path: "", Found: fmt.Sprintf("%d bytes", len(data)), Want: "at most 1048576 bytes"}}
+	}
+	if faults := checkShape(data); len(faults) > 0 {
+		return doc, faults
+	}
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return doc, Faults{{Path: "", Found: err.Error(), Want: "a JSON document"}}
+	}
+	if faults := Check(doc); len(faults) > 0 {
+		return doc, faults
+	}
+	return doc, nil
+}
+
+func checkShape(data []byte) Faults {
+	schema, err := compiledSchema()
+	if err != nil {
+		return Faults{{Path: "", Found: err.Error(), Want: "a schema that compiles"}}
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return Faults{{Path: "", Found: err.Error(), Want: "one JSON value"}}
+	}
+	var invalid *jsonschema.ValidationError
+	if err := schema.Validate(value); errors.As(err, &invalid) {
+		return shapeFaults(invalid)
+	}
+	return nil
+}
+
+// shapeFaults returns the innermost causes of a validation error.
+func shapeFaults(e *jsonschema.ValidationError) Faults {
+	if len(e.Causes) == 0 {
+		found := e.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+		want := strings.Join(e.ErrorKind.KeywordPath(), "/")
+		return Faults{{Path: pointer(e.InstanceLocation), Found: found, Want: "a value that the schema's rule " + want + " allows"}}
+	}
+	var out Faults
+	for _, c := range e.Causes {
+		out = append(out, shapeFaults(c)...)
+	}
+	slices.SortStableFunc(out, func(a, b Fault) int { return strings.Compare(a.Path, b.Path) })
+	return out
+}
+
+func pointer(parts []string) string {
+	var b strings.Builder
+	for _, p := range parts {
+		b.WriteByte('/')
+		b.WriteString(strings.NewReplacer("~", "~0", "/", "~1").Replace(p))
+	}
+	return b.String()
+}
+
+// Format returns the document in its one written form.
+func Format(doc magnolialedge.Document) ([]byte, error) {
+	data, err := json.MarshalIndent(doc, "", "  ")
+	return append(data, '\n'), err
+}
--- /dev/null
+++ b/io/conn/pool.go
@@ -0,0 +1,182 @@
+package conn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+	"time"
+)
+
+const (
+	// idleLife is how long an unused connection is kept.
+	idleLife = 30 * time.Second
+	// freshLife is how recently a connection must have been heard from to
+	// carry a request that may run only once.
+	freshLife = time.Second
+	// freshShare is the part of a target's connections for such requests.
+	freshShare = 4
+	// bufferBytes is the size of each read and write buffer of a connection.
+	bufferBytes = 4 << 10
+)
+
+// Destination is a target as the pool needs it.
+type Destination struct {
+	Address string
+	Region  string
+	// MaxConnections is this entry's share of the target's connections.
+	MaxConnections int
+}
+
+// Sending is one request to an upstream.
+type Sending struct {
+	To Destination
+	// Fresh asks for a connection that is new or was heard from within
+	// the last second, and rules out that the request is written twice.
+	Fresh bool
+	// OnInterim is called for each 1xx answer.
+	OnInterim func(status int, header textproto.MIMEHeader) error
+}
+
+// Pool keeps the connections to upstreams.
+type Pool struct {
+	dialer *Dialer
+	// OnTrip is told the time that each new connection took.
+	onTrip func(address string, trip time.Duration)
+	mu     sync.Mutex
+	byAddr map[string]*target
+}
+
+type target struct {
+	dest   Destination
+	shared *http.Transport
+	fresh  *http.Transport
+}
+
+// PoolConfig constructs a Pool.
+type PoolConfig struct {
+	Dialer *Dialer
+	// OnTrip is told the time that each new connection took.
+	OnTrip func(address string, trip time.Duration)
+}
+
+// NewPool returns an empty Pool.
+func NewPool(cfg PoolConfig) *Pool {
+	return &Pool{dialer: cfg.Dialer, onTrip: cfg.OnTrip, byAddr: map[string]*target{}}
+}
+
+// Send sends req and returns the answer's head. The Use tells, also after a
+// failure, whether the request may have reached the upstream.
+func (p *Pool) Send(req *http.Request, s Sending) (*http.Response, *Use, error) {
+	use := &Use{}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { use.start(info.Conn) },
+		Got1xxResponse: s.OnInterim,
+	}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	t := p.target(s.To)
+	if !s.Fresh {
+		resp, err := t.shared.RoundTrip(req)
+		return resp, use, err
+	}
+	req.Body = singleBody(req.Body)
+	resp, err := t.fresh.RoundTrip(req)
+	return resp, use, err
+}
+
+// onceBody is a request body that the transport can't send again. Without it
+// the transport takes a bodyless request with an idempotency key as one that it
+// may write a second time.
+type onceBody struct {
+	io.ReadCloser
+}
+
+func singleBody(body io.ReadCloser) io.ReadCloser {
+	if body == nil {
+		body = http.NoBody
+	}
+	return onceBody{body}
+}
+
+// CloseIdle closes the unused connections to address.
+func (p *Pool) CloseIdle(address string) {
+	p.mu.Lock()
+	t := p.byAddr[address]
+	p.mu.Unlock()
+	if t == nil {
+		return
+	}
+	t.shared.CloseIdleConnections()
+	t.fresh.CloseIdleConnections()
+}
+
+// Keep drops the targets that aren't in use any more.
+func (p *Pool) Keep(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, t := range p.byAddr {
+		if addresses[address] {
+			continue
+		}
+		t.shared.CloseIdleConnections()
+		t.fresh.CloseIdleConnections()
+		delete(p.byAddr, address)
+	}
+}
+
+// Len returns the number of targets that have been connected to.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.byAddr)
+}
+
+func (p *Pool) target(d Destination) *target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.byAddr[d.Address]
+	if ok && t.dest == d {
+		return t
+	}
+	if ok {
+		t.shared.CloseIdleConnections()
+		t.fresh.CloseIdleConnections()
+	}
+	fresh := max(1, d.MaxConnections/freshShare)
+	t = &target{
+		dest:   d,
+		shared: p.transport(d, max(1, d.MaxConnections-fresh), idleLife),
+		fresh:  p.transport(d, fresh, freshLife),
+	}
+	p.byAddr[d.Address] = t
+	return t
+}
+
+func (p *Pool) transport(d Destination, most int, idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return p.dial(ctx, d.Region, address)
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: most,
+		MaxConnsPerHost:     most,
+		IdleConnTimeout:     idle,
+		ReadBufferSize:      bufferBytes,
+		WriteBufferSize:     bufferBytes,
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, region, address string) (net.Conn, error) {
+	begin := time.Now()
+	c, err := p.dialer.Dial(ctx, region, address)
+	if err != nil {
+		return nil, err
+	}
+	if p.onTrip != nil {
+		p.onTrip(address, time.Since(begin))
+	}
+	return &Tracked{Conn: c}, nil
+}
--- /dev/null
+++ b/io/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry puts the parts of an entry instance together and runs them.
+package entry
--- /dev/null
+++ b/io/entry/heirs.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"magnolialedge/core/call"
+)
+
+// heirs remembers which peer answers for a stopped one.
+type heirs struct {
+	mu      sync.Mutex
+	byPeer  map[string]heir
+	forgets time.Duration
+}
+
+type heir struct {
+	address string
+	until   time.Time
+}
+
+func newHeirs() *heirs {
+	return &heirs{byPeer: map[string]heir{}, forgets: call.KeyLife + 2*call.ClockSkew}
+}
+
+func (h *heirs) set(stopped, address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for peer, have := range h.byPeer {
+		if now.After(have.until) {
+			delete(h.byPeer, peer)
+		}
+	}
+	h.byPeer[stopped] = heir{address: address, until: now.Add(h.forgets)}
+}
+
+// of returns the peer that answers for address, which is address itself unless
+// it has stopped. An heir may have stopped in its turn.
+func (h *heirs) of(address string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for range len(h.byPeer) {
+		next, ok := h.byPeer[address]
+		if !ok || time.Now().After(next.until) {
+			break
+		}
+		address = next.address
+	}
+	return address
+}
--- /dev/null
+++ b/io/entry/peers.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"magnolialedge/io/event"
+	"magnolialedge/io/peer"
+	"magnolialedge/io/peer/peerpb"
+)
+
+// mostPeerBytes bounds a message from a peer.
+const mostPeerBytes = 32 << 20
+
+// mostPeerWait bounds how long a peer may let this entry hold an answer.
+const mostPeerWait = 30 * time.Second
+
+// peerService answers the calls of other entries.
+type peerService struct {
+	entry *Entry
+}
+
+func (e *Entry) peerHandler() http.Handler {
+	rpc := peerpb.NewPeerServer(&peerService{entry: e})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !sameSecret(r.Header.Get(peer.SecretHeader), e.settings.Secret) {
+			e.log.Log(event.PeerForbidden, "from", r.RemoteAddr)
+			http.Error(w, "wrong secret", http.StatusForbidden)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, mostPeerBytes)
+		rpc.ServeHTTP(w, r)
+	})
+}
+
+func sameSecret(have, want string) bool {
+	return subtle.ConstantTimeCompare([]byte(have), []byte(want)) == 1
+}
+
+func waitOf(ms int64) time.Duration {
+	return min(max(0, time.Duration(ms)*time.Millisecond), mostPeerWait)
+}
+
+// Poll implements peerpb.Peer.
+func (p *peerService) Poll(ctx context.Context, m *peerpb.PollRequest) (*peerpb.Version, error) {
+	revision, body := p.entry.keeper.Poll(ctx, m.GetAfter(), waitOf(m.GetWaitMs()))
+	return &peerpb.Version{Revision: revision, Body: body}, nil
+}
+
+// Offer implements peerpb.Peer.
+func (p *peerService) Offer(_ context.Context, m *peerpb.Version) (*peerpb.Revision, error) {
+	if len(m.GetBody()) > 0 {
+		if err := p.entry.keeper.AdoptEncoded(m.GetBody()); err != nil {
+			return nil, twirp.InvalidArgumentError("body", err.Error())
+		}
+	}
+	return &peerpb.Revision{
+		Revision:    p.entry.keeper.Version().Revision,
+		SinceUnixMs: p.entry.fleet.Since().UnixMilli(),
+	}, nil
+}
+
+// Ask implements peerpb.Peer.
+func (p *peerService) Ask(ctx context.Context, m *peerpb.AskRequest) (*peerpb.AskReply, error) {
+	ask, err := peer.AskFromWire(m)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("key", err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, waitOf(m.GetWaitMs()))
+	defer cancel()
+	return peer.ReplyToWire(p.entry.keys.Ask(ctx, ask))
+}
+
+// Tell implements peerpb.Peer.
+func (p *peerService) Tell(_ context.Context, m *peerpb.News) (*peerpb.Nothing, error) {
+	if m.GetFingerprint() != 0 {
+		p.entry.quarantine.Told(m.GetFingerprint(), int(m.GetLosses()))
+	}
+	if m.GetDraining() != "" {
+		if s, ok := p.entry.fleet.Service(m.GetService()); ok {
+			s.DrainTarget(m.GetDraining())
+		}
+	}
+	return &peerpb.Nothing{}, nil
+}
+
+// Adopt implements peerpb.Peer.
+func (p *peerService) Adopt(_ context.Context, m *peerpb.Handover) (*peerpb.AdoptReply, error) {
+	if p.entry.leaving.is() {
+		return &peerpb.AdoptReply{}, nil
+	}
+	table, err := decodeHandover(m.GetBody())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("body", err.Error())
+	}
+	if !p.entry.keys.Adopt(table) {
+		return &peerpb.AdoptReply{}, nil
+	}
+	p.entry.heirs.set(table.Peer, p.entry.self.Peers)
+	p.entry.log.Log(event.Adopted, "stopped", table.Peer, "keys", len(table.Records))
+	return &peerpb.AdoptReply{Adopted: true}, nil
+}
+
+// Succeed implements peerpb.Peer.
+func (p *peerService) Succeed(_ context.Context, m *peerpb.Successor) (*peerpb.Nothing, error) {
+	p.entry.heirs.set(m.GetStopped(), m.GetHeir())
+	return &peerpb.Nothing{}, nil
+}
--- /dev/null
+++ b/io/peer/convert.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"magnolialedge"
+	"magnolialedge/core/call"
+	"magnolialedge/core/proc"
+	"magnolialedge/io/peer/peerpb"
+)
+
+// AskToWire returns the message for a question about a key.
+func AskToWire(a proc.FenceAsk, wait time.Duration) *peerpb.AskRequest {
+	return &peerpb.AskRequest{
+		Key:          a.Key.ID[:],
+		IssuedUnixMs: a.Key.Issued.UnixMilli(),
+		Fingerprint:  a.Fingerprint,
+		Generation:   a.Generation,
+		By:           ownerToWire(a.By),
+		WaitMs:       wait.Milliseconds(),
+	}
+}
+
+// AskFromWire reads a question about a key.
+func AskFromWire(m *peerpb.AskRequest) (proc.FenceAsk, error) {
+	id, err := uuid.FromBytes(m.GetKey())
+	if err != nil {
+		return proc.FenceAsk{}, errors.Wrap(err, "key")
+	}
+	return proc.FenceAsk{
+		Key:         call.Key{ID: id, Issued: time.UnixMilli(m.GetIssuedUnixMs())},
+		Fingerprint: m.GetFingerprint(),
+		Generation:  m.GetGeneration(),
+		By:          ownerFromWire(m.GetBy()),
+	}, nil
+}
+
+// ReplyToWire returns the message for the answer to a question.
+func ReplyToWire(r proc.FenceReply) (*peerpb.AskReply, error) {
+	out := &peerpb.AskReply{
+		Status:  int32(r.Status),
+		Outcome: string(r.Outcome),
+		MovedTo: ownerToWire(r.MovedTo),
+		Reused:  r.Reused,
+	}
+	if r.Answer == nil {
+		return out, nil
+	}
+	body, err := json.Marshal(r.Answer)
+	out.Answer = body
+	return out, err
+}
+
+// ReplyFromWire reads the answer to a question.
+func ReplyFromWire(m *peerpb.AskReply) (proc.FenceReply, error) {
+	out := proc.FenceReply{
+		Status:  proc.FenceStatus(m.GetStatus()),
+		Outcome: magnolialedge.Outcome(m.GetOutcome()),
+		MovedTo: ownerFromWire(m.GetMovedTo()),
+		Reused:  m.GetReused(),
+	}
+	if len(m.GetAnswer()) == 0 {
+		return out, nil
+	}
+	out.Answer = &proc.StoredAnswer{}
+	return out, errors.Wrap(json.Unmarshal(m.GetAnswer(), out.Answer), "stored answer")
+}
+
+func ownerToWire(o proc.Owner) *peerpb.Owner {
+	return &peerpb.Owner{Peer: o.Peer, Generation: o.Generation, Seq: o.Seq}
+}
+
+func ownerFromWire(m *peerpb.Owner) proc.Owner {
+	return proc.Owner{Peer: m.GetPeer(), Generation: m.GetGeneration(), Seq: m.GetSeq()}
+}
--- /dev/null
+++ b/io/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries the calls between entries.
+package peer
--- /dev/null
+++ b/io/plat/store.go
@@ -0,0 +1,142 @@
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+)
+
+const (
+	// callTimeout bounds a call that doesn't wait.
+	callTimeout = time.Second
+	// watchMargin is added to the wait of a watch.
+	watchMargin = 2 * time.Second
+	// mostReplyBytes bounds a reply: a value of a megabyte in its encoding.
+	mostReplyBytes = 3 << 20
+)
+
+// ClientConfig constructs a Client.
+type ClientConfig struct {
+	// Address is the platform's IP number and port.
+	Address   string
+	Transport http.RoundTripper
+}
+
+// Client implements magnolialedge.Store and magnolialedge.Lister.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a Client.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{base: "http://" + cfg.Address, http: &http.Client{Transport: cfg.Transport}}
+}
+
+// Get implements magnolialedge.Store.
+func (c *Client) Get(ctx context.Context, key string) (magnolialedge.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.call(ctx, http.MethodGet, c.keyURL(key, nil), nil)
+}
+
+// Watch implements magnolialedge.Store.
+func (c *Client) Watch(ctx context.Context, key string, after int64, wait time.Duration) (magnolialedge.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	query := url.Values{
+		"after":  {strconv.FormatInt(after, 10)},
+		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	return c.call(ctx, http.MethodGet, c.keyURL(key, query), nil)
+}
+
+// Swap implements magnolialedge.Store.
+func (c *Client) Swap(ctx context.Context, key string, base int64, data []byte, ttl time.Duration) (magnolialedge.Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := json.Marshal(SwapRequest{Base: base, Data: data, TTLMs: ttl.Milliseconds()})
+	if err != nil {
+		return magnolialedge.Value{}, err
+	}
+	v, err := c.call(ctx, http.MethodPut, c.keyURL(key, nil), body)
+	if err == nil || errors.Is(err, magnolialedge.ErrSwapConflict) || errors.Is(err, syscall.ECONNREFUSED) {
+		return v, err
+	}
+	return v, errors.Mark(err, magnolialedge.ErrReplyLost)
+}
+
+// Instances implements magnolialedge.Lister.
+func (c *Client) Instances(ctx context.Context) ([]magnolialedge.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, _, err := c.do(ctx, http.MethodGet, c.base+PathInstances, nil)
+	if err != nil {
+		return nil, err
+	}
+	var list []magnolialedge.Instance
+	return list, errors.Wrap(json.Unmarshal(body, &list), "list of instances")
+}
+
+// Announce tells the platform of this instance. It stands for what the
+// platform's own agent does on an instance.
+func (c *Client) Announce(ctx context.Context, in magnolialedge.Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	_, _, err = c.do(ctx, http.MethodPost, c.base+PathInstances, body)
+	return err
+}
+
+func (c *Client) keyURL(key string, query url.Values) string {
+	return c.base + PathKeys + url.PathEscape(key) + "?" + query.Encode()
+}
+
+func (c *Client) call(ctx context.Context, method, target string, body []byte) (magnolialedge.Value, error) {
+	reply, status, err := c.do(ctx, method, target, body)
+	if err != nil {
+		return magnolialedge.Value{}, err
+	}
+	var v Value
+	if err := json.Unmarshal(reply, &v); err != nil {
+		return magnolialedge.Value{}, errors.Wrap(err, "key-value service")
+	}
+	out := magnolialedge.Value{Data: v.Data, Revision: v.Revision}
+	if status == http.StatusConflict {
+		return out, magnolialedge.ErrSwapConflict
+	}
+	return out, nil
+}
+
+func (c *Client) do(ctx context.Context, method, target string, body []byte) ([]byte, int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	reply, err := io.ReadAll(io.LimitReader(resp.Body, mostReplyBytes))
+	if err != nil {
+		return nil, 0, err
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return nil, 0, errors.Newf("the platform answered %d", resp.StatusCode)
+	}
+	return reply, resp.StatusCode, nil
+}
--- /dev/null
+++ b/io/proc/quarantine.go
@@ -0,0 +1,54 @@
+package proc
+
+import (
+	"sync"
+	"time"
+
+	"magnolialedge/core/proc"
+)
+
+// Quarantine guards the table of requests that lost upstreams.
+type Quarantine struct {
+	mu   sync.Mutex
+	core *proc.Quarantine
+}
+
+// NewQuarantine returns an empty Quarantine.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{core: proc.NewQuarantine()}
+}
+
+// Lost counts an upstream lost to the request and returns the count.
+func (q *Quarantine) Lost(fingerprint uint64) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.core.Lost(time.Now(), fingerprint)
+}
+
+// Told takes a peer's count.
+func (q *Quarantine) Told(fingerprint uint64, losses int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.core.Told(time.Now(), fingerprint, losses)
+}
+
+// Refuses reports whether the request is refused, and for how long.
+func (q *Quarantine) Refuses(fingerprint uint64) (time.Duration, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.core.Refuses(time.Now(), fingerprint)
+}
+
+// Losses returns the number of upstreams lost to the request of late.
+func (q *Quarantine) Losses(fingerprint uint64) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.core.Losses(time.Now(), fingerprint)
+}
+
+// Len returns the number of requests remembered.
+func (q *Quarantine) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.core.Len()
+}
--- /dev/null
+++ b/io/stand/caller.go
@@ -0,0 +1,176 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge/io/call"
+)
+
+// Caller behaves as a caller should: it asks for addresses, keeps the answer for
+// its time to live, and tries the next address when one can't be reached.
+type Caller struct {
+	entries []string
+	http    *http.Client
+	mu      sync.Mutex
+	known   map[string]resolution
+}
+
+type resolution struct {
+	call.Resolved
+	until time.Time
+}
+
+// NewCaller returns a Caller that asks entries, in their order.
+func NewCaller(entries []string, client *http.Client) *Caller {
+	return &Caller{entries: entries, http: client, known: map[string]resolution{}}
+}
+
+// Resolve returns the addresses to use for service.
+func (c *Caller) Resolve(ctx context.Context, service string) (call.Resolved, error) {
+	c.mu.Lock()
+	have, ok := c.known[service]
+	c.mu.Unlock()
+	if ok && time.Now().Before(have.until) {
+		return have.Resolved, nil
+	}
+	var err error
+	for _, entry := range append(have.Addresses, c.entries...) {
+		var r call.Resolved
+		if r, err = c.ask(ctx, entry, service); err == nil {
+			c.mu.Lock()
+			c.known[service] = resolution{Resolved: r, until: time.Now().Add(time.Duration(r.TTLMs) * time.Millisecond)}
+			c.mu.Unlock()
+			return r, nil
+		}
+	}
+	return have.Resolved, errors.Wrap(err, "resolve "+service)
+}
+
+// resolveTimeout bounds one question for addresses.
+const resolveTimeout = 2 * time.Second
+
+func (c *Caller) ask(ctx context.Context, entry, service string) (call.Resolved, error) {
+	var out call.Resolved
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/v1/resolve?service="+service, nil)
+	if err != nil {
+		return out, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return out, errors.Newf("%s answered %d", entry, resp.StatusCode)
+	}
+	return out, json.NewDecoder(resp.Body).Decode(&out)
+}
+
+// Request is one request of a caller.
+type Request struct {
+	Service string
+	Method  string
+	Path    string
+	Key     string
+	Tag     string
+	Body    []byte
+	Header  http.Header
+	Timeout time.Duration
+	// Tried names the addresses of the entries of earlier attempts.
+	Tried []string
+}
+
+// Reply is the answer to one attempt.
+type Reply struct {
+	Status     int
+	Kind       string
+	Outcome    string
+	Entry      string
+	RequestID  string
+	RetryAfter time.Duration
+	// Own tells that the whole answer to this very request came.
+	Own bool
+	// Cut tells that the answer broke off.
+	Cut bool
+	Err error
+}
+
+// OK reports whether the request was served.
+func (r Reply) OK() bool {
+	return r.Err == nil && r.Status > 0 && r.Status < 300
+}
+
+// replyMargin is what a caller waits beyond its own timeout.
+const replyMargin = 2 * time.Second
+
+// Send sends one attempt to an entry.
+func (c *Caller) Send(ctx context.Context, entry, requestID string, q Request) Reply {
+	ctx, cancel := context.WithTimeout(ctx, q.Timeout+replyMargin)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, q.Method, "http://"+entry+"/s/"+q.Service+q.Path, bytes.NewReader(q.Body))
+	if err != nil {
+		return Reply{Err: err}
+	}
+	for k, vs := range q.Header {
+		req.Header[k] = vs
+	}
+	req.Header.Set(call.HeaderID, requestID)
+	req.Header.Set(HeaderTag, q.Tag)
+	req.Header.Set(call.HeaderTimeout, fmt.Sprint(q.Timeout.Milliseconds()))
+	// A request with a key is written once by this side, so that each attempt
+	// is counted.
+	req.GetBody = nil
+	if q.Key != "" {
+		req.Header.Set(call.HeaderKey, q.Key)
+		setTried(req.Header, q.Tried)
+		req.Body = io.NopCloser(bytes.NewReader(q.Body))
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Reply{RequestID: requestID, Err: err}
+	}
+	defer resp.Body.Close()
+	return readReply(resp, requestID, q)
+}
+
+func setTried(h http.Header, tried []string) {
+	if len(tried) == 0 {
+		h.Set(call.HeaderAttempt, "first")
+		return
+	}
+	h.Set(call.HeaderTried, strings.Join(tried, ", "))
+}
+
+func readReply(resp *http.Response, requestID string, q Request) Reply {
+	out := Reply{
+		Status:    resp.StatusCode,
+		Kind:      resp.Header.Get(call.HeaderKind),
+		Outcome:   resp.Header.Get(call.HeaderOutcome),
+		Entry:     resp.Header.Get(call.HeaderEntry),
+		RequestID: requestID,
+	}
+	var seconds int
+	if _, err := fmt.Sscan(resp.Header.Get("Retry-After"), &seconds); err == nil {
+		out.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		out.Cut = true
+		out.Err = err
+		return out
+	}
+	out.Own = out.Kind != "" || resp.StatusCode >= 300 || strings.HasPrefix(string(body), q.Tag+" "+q.Method+" ")
+	return out
+}
--- /dev/null
+++ b/io/stand/load.go
@@ -0,0 +1,275 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+)
+
+// LoadConfig constructs a Load.
+type LoadConfig struct {
+	// Entries are the callers' addresses of entries to ask first.
+	Entries  []string
+	Services []string
+	// Rate is the number of new requests a second over all services.
+	Rate     float64
+	Duration time.Duration
+	// Callers is the number of callers, each with its own resolve answers.
+	Callers int
+	// KeyedPercent is the share of non-idempotent requests.
+	KeyedPercent float64
+	// KeyedPath is their path; POST is their method.
+	KeyedPath string
+	// UploadPercent is the share of uploads, of UploadBytes each.
+	UploadPercent float64
+	UploadBytes   int
+	// Resends is how often a caller sends a non-idempotent request again when
+	// it isn't told that it ran.
+	Resends int
+	Timeout time.Duration
+	Seed    uint64
+	// Direct are upstream addresses that are called without any entry.
+	Direct []string
+}
+
+// KeyedCall is what a caller knows of one non-idempotent request.
+type KeyedCall struct {
+	Service string `json:"service"`
+	Key     string `json:"key"`
+	// NotRun names the attempts that were told that they were not run.
+	NotRun []string `json:"notRun,omitempty"`
+	// Ran tells that an answer said the request was run.
+	Ran bool `json:"ran"`
+}
+
+// LoadResult is what a load saw.
+type LoadResult struct {
+	Sent int64 `json:"sent"`
+	OK   int64 `json:"ok"`
+	// Refused counts answers that the system made itself, by kind.
+	Refused map[string]int64 `json:"refused"`
+	// Failed counts answers of upstreams with a status from 400.
+	Failed int64 `json:"failed"`
+	// Lost counts requests without an answer, Cut answers that broke off, and
+	// Foreign answers to another request.
+	Lost    int64 `json:"lost"`
+	Cut     int64 `json:"cut"`
+	Foreign int64 `json:"foreign"`
+	// NoRetryAfter counts refusals that should have said when to come back.
+	NoRetryAfter int64       `json:"noRetryAfter"`
+	P50Ms        float64     `json:"p50Ms"`
+	P90Ms        float64     `json:"p90Ms"`
+	P99Ms        float64     `json:"p99Ms"`
+	P999Ms       float64     `json:"p999Ms"`
+	MaxMs        float64     `json:"maxMs"`
+	RefusedP99Ms float64     `json:"refusedP99Ms"`
+	Keyed        []KeyedCall `json:"keyed,omitempty"`
+	Errors       []string    `json:"errors,omitempty"`
+}
+
+// Load is an open-loop generator: each request begins at its intended time,
+// whatever became of those before, and latency counts from that time.
+type Load struct {
+	cfg     LoadConfig
+	callers []*Caller
+	mu      sync.Mutex
+	result  LoadResult
+	latency *hdrhistogram.Histogram
+	refused *hdrhistogram.Histogram
+	// after is called with each end, for measurements over time.
+	after func(at time.Time, r Reply)
+}
+
+const (
+	// mostLatencyUs is the greatest latency that the histograms tell apart.
+	mostLatencyUs = 120_000_000
+	// latencyDigits is the number of significant digits of the histograms.
+	latencyDigits = 3
+	// mostErrors bounds the errors that a result names.
+	mostErrors = 10
+)
+
+// NewLoad returns a Load.
+func NewLoad(cfg LoadConfig) *Load {
+	l := &Load{
+		cfg:     cfg,
+		result:  LoadResult{Refused: map[string]int64{}},
+		latency: hdrhistogram.New(1, mostLatencyUs, latencyDigits),
+		refused: hdrhistogram.New(1, mostLatencyUs, latencyDigits),
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}
+	for i := range max(1, cfg.Callers) {
+		entries := append([]string(nil), cfg.Entries...)
+		if n := len(entries); n > 0 {
+			k := i % n
+			entries = append(entries[k:], entries[:k]...)
+		}
+		l.callers = append(l.callers, NewCaller(entries, client))
+	}
+	return l
+}
+
+// Run makes requests until the duration has passed or ctx is done, and waits for
+// their answers.
+func (l *Load) Run(ctx context.Context) LoadResult {
+	random := rand.New(rand.NewPCG(l.cfg.Seed, 7))
+	begin := time.Now()
+	end := begin.Add(l.cfg.Duration)
+	next := begin
+	var wg sync.WaitGroup
+	for n := 0; next.Before(end) && ctx.Err() == nil; n++ {
+		time.Sleep(time.Until(next))
+		intended := next
+		plan := l.plan(random, n)
+		wg.Go(func() { l.one(ctx, intended, plan) })
+		next = next.Add(time.Duration(random.ExpFloat64() / l.cfg.Rate * float64(time.Second)))
+	}
+	wg.Wait()
+	return l.Result()
+}
+
+// Result returns what has been seen so far.
+func (l *Load) Result() LoadResult {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.result
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	r.P50Ms = ms(l.latency, 50)
+	r.P90Ms = ms(l.latency, 90)
+	r.P99Ms = ms(l.latency, 99)
+	r.P999Ms = ms(l.latency, 99.9)
+	r.MaxMs = float64(l.latency.Max()) / 1000
+	r.RefusedP99Ms = ms(l.refused, 99)
+	return r
+}
+
+// planned is one request and the caller that makes it.
+type planned struct {
+	Request
+	caller *Caller
+	seed   uint64
+}
+
+func (l *Load) plan(random *rand.Rand, n int) planned {
+	p := planned{caller: l.callers[random.IntN(len(l.callers))], seed: random.Uint64()}
+	p.Service = l.cfg.Services[random.IntN(len(l.cfg.Services))]
+	p.Timeout = l.cfg.Timeout
+	p.Tag = fmt.Sprintf("tag-%d-%d", l.cfg.Seed, n)
+	p.Method = http.MethodGet
+	p.Path = fmt.Sprintf("/items/%d", random.IntN(1000))
+	share := random.Float64() * 100
+	switch {
+	case share < l.cfg.KeyedPercent:
+		p.Method = http.MethodPost
+		p.Path = l.cfg.KeyedPath
+		p.Key = uuid.Must(uuid.NewV7()).String()
+		p.Body = []byte(p.Tag)
+	case share < l.cfg.KeyedPercent+l.cfg.UploadPercent:
+		p.Method = http.MethodPut
+		p.Body = make([]byte, l.cfg.UploadBytes)
+	}
+	return p
+}
+
+func (l *Load) one(ctx context.Context, intended time.Time, p planned) {
+	var reply Reply
+	if p.Key == "" {
+		reply = l.attempt(ctx, &p, 0)
+	} else {
+		reply = l.keyed(ctx, &p)
+	}
+	l.note(intended, reply)
+}
+
+// attempt sends one attempt to the entry whose turn it is. When an entry can't
+// be reached at all, the next one is tried.
+func (l *Load) attempt(ctx context.Context, p *planned, turn int) Reply {
+	requestID := fmt.Sprintf("%s-%d", p.Tag, turn)
+	if len(l.cfg.Direct) > 0 {
+		return p.caller.Send(ctx, l.cfg.Direct[p.seed%uint64(len(l.cfg.Direct))], requestID, p.Request)
+	}
+	resolved, err := p.caller.Resolve(ctx, p.Service)
+	if len(resolved.Addresses) == 0 {
+		return Reply{RequestID: requestID, Err: err}
+	}
+	var reply Reply
+	for i := range min(3, len(resolved.Addresses)) {
+		entry := resolved.Addresses[(turn+i)%len(resolved.Addresses)]
+		reply = p.caller.Send(ctx, entry, requestID, p.Request)
+		if reply.Err == nil || !neverSent(reply.Err) {
+			p.Tried = append(p.Tried, entry)
+			return reply
+		}
+	}
+	return reply
+}
+
+// resendPause is how long a caller waits before it sends again.
+const resendPause = 100 * time.Millisecond
+
+// keyed sends a non-idempotent request, and again with the same key until it is
+// told that it ran.
+func (l *Load) keyed(ctx context.Context, p *planned) Reply {
+	known := KeyedCall{Service: p.Service, Key: p.Key}
+	defer func() {
+		l.mu.Lock()
+		l.result.Keyed = append(l.result.Keyed, known)
+		l.mu.Unlock()
+	}()
+	var reply Reply
+	for turn := 0; turn <= l.cfg.Resends; turn++ {
+		reply = l.attempt(ctx, p, turn)
+		if reply.Outcome == "notRun" {
+			known.NotRun = append(known.NotRun, reply.RequestID)
+		}
+		if reply.Outcome == "ran" {
+			known.Ran = true
+			return reply
+		}
+		time.Sleep(resendPause)
+	}
+	return reply
+}
+
+func (l *Load) note(intended time.Time, r Reply) {
+	took := time.Since(intended).Microseconds()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.result.Sent++
+	if l.after != nil {
+		l.after(intended, r)
+	}
+	switch {
+	case r.Cut:
+		l.result.Cut++
+		l.fault(r.Err)
+	case r.Err != nil:
+		l.result.Lost++
+		l.fault(r.Err)
+	case !r.Own:
+		l.result.Foreign++
+	case r.Kind != "":
+		l.result.Refused[r.Kind]++
+		_ = l.refused.RecordValue(took)
+		if r.RetryAfter == 0 && r.Status >= 500 {
+			l.result.NoRetryAfter++
+		}
+	case !r.OK():
+		l.result.Failed++
+	default:
+		l.result.OK++
+		_ = l.latency.RecordValue(took)
+	}
+}
+
+func (l *Load) fault(err error) {
+	if len(l.result.Errors) < mostErrors {
+		l.result.Errors = append(l.result.Errors, err.Error())
+	}
+}
--- /dev/null
+++ b/io/stand/platform.go
@@ -0,0 +1,266 @@
+package stand
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"magnolialedge"
+	"magnolialedge/io/plat"
+)
+
+// PlatformBehaviour is how the platform stand-in fails.
+type PlatformBehaviour struct {
+	// Down refuses every call to the key-value service.
+	Down bool `json:"down"`
+	// SlowMs delays every call.
+	SlowMs int `json:"slowMs"`
+	// LoseReplies carries writes out and breaks the connection instead of
+	// answering, for the next so many writes.
+	LoseReplies int `json:"loseReplies"`
+	// ListLagMs is the age of the list of instances.
+	ListLagMs int `json:"listLagMs"`
+}
+
+// PlatformCounts counts the calls to the key-value service.
+type PlatformCounts struct {
+	Reads     int64 `json:"reads"`
+	Writes    int64 `json:"writes"`
+	Watches   int64 `json:"watches"`
+	Conflicts int64 `json:"conflicts"`
+	// Refused counts calls beyond the call rates.
+	Refused int64 `json:"refused"`
+}
+
+// PlatformConfig constructs a Platform.
+type PlatformConfig struct {
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+}
+
+// Platform is the key-value service and the list of instances.
+type Platform struct {
+	cfg       PlatformConfig
+	mu        sync.Mutex
+	values    map[string]*entryValue
+	changed   chan struct{}
+	behaviour PlatformBehaviour
+	counts    PlatformCounts
+	writes    allowance
+	reads     allowance
+	instances instanceList
+}
+
+type entryValue struct {
+	data     []byte
+	revision int64
+	until    time.Time
+}
+
+// allowance is a call rate with a second's burst.
+type allowance struct {
+	rate   float64
+	tokens float64
+	at     time.Time
+}
+
+func (a *allowance) take(now time.Time) bool {
+	if a.rate <= 0 {
+		return true
+	}
+	a.tokens = min(a.rate, a.tokens+now.Sub(a.at).Seconds()*a.rate)
+	a.at = now
+	if a.tokens < 1 {
+		return false
+	}
+	a.tokens--
+	return true
+}
+
+// NewPlatform returns a Platform.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	return &Platform{
+		cfg:       cfg,
+		values:    map[string]*entryValue{},
+		changed:   make(chan struct{}),
+		writes:    allowance{rate: cfg.WritesPerSecond},
+		reads:     allowance{rate: cfg.ReadsPerSecond},
+		instances: newInstanceList(),
+	}
+}
+
+// Handler returns the HTTP interface of the platform.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+plat.PathKeys, p.get)
+	mux.HandleFunc("PUT "+plat.PathKeys, p.put)
+	mux.HandleFunc("GET "+plat.PathInstances, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.instances.list(time.Now(), p.lag()))
+	})
+	mux.HandleFunc("POST "+plat.PathInstances, func(w http.ResponseWriter, r *http.Request) {
+		var in magnolialedge.Instance
+		if readJSON(w, r, &in) {
+			p.instances.announce(time.Now(), in)
+			writeJSON(w, http.StatusOK, struct{}{})
+		}
+	})
+	mux.HandleFunc("POST "+ControlPrefix+"behave", func(w http.ResponseWriter, r *http.Request) {
+		var b PlatformBehaviour
+		if readJSON(w, r, &b) {
+			p.Behave(b)
+			writeJSON(w, http.StatusOK, b)
+		}
+	})
+	mux.HandleFunc("GET "+ControlPrefix+"counts", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, p.Counts())
+	})
+	return mux
+}
+
+// Behave sets how the platform fails from now on.
+func (p *Platform) Behave(b PlatformBehaviour) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.behaviour = b
+}
+
+// Counts returns the calls so far.
+func (p *Platform) Counts() PlatformCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+func (p *Platform) lag() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration(p.behaviour.ListLagMs) * time.Millisecond
+}
+
+// admit applies outage, slowness and call rates, and reports whether the call
+// goes on.
+func (p *Platform) admit(w http.ResponseWriter, rate *allowance, count *int64) bool {
+	p.mu.Lock()
+	b := p.behaviour
+	ok := rate.take(time.Now())
+	*count++
+	if !ok {
+		p.counts.Refused++
+	}
+	p.mu.Unlock()
+	time.Sleep(time.Duration(b.SlowMs) * time.Millisecond)
+	if b.Down || !ok {
+		http.Error(w, "not now", http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+func keyOf(r *http.Request) string {
+	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), plat.PathKeys))
+	if err != nil {
+		return ""
+	}
+	return key
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	after := r.URL.Query().Get("after")
+	count := &p.counts.Reads
+	if after != "" {
+		count = &p.counts.Watches
+	}
+	if !p.admit(w, &p.reads, count) {
+		return
+	}
+	if after != "" {
+		p.wait(r, keyOf(r), after)
+	}
+	writeJSON(w, http.StatusOK, p.value(keyOf(r)))
+}
+
+func (p *Platform) wait(r *http.Request, key, after string) {
+	revision, _ := strconv.ParseInt(after, 10, 64)
+	ms, _ := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
+	timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		changed := p.changed
+		now := p.valueLocked(key)
+		down := p.behaviour.Down
+		p.mu.Unlock()
+		if now.Revision > revision || down {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) value(key string) plat.Value {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.valueLocked(key)
+}
+
+func (p *Platform) valueLocked(key string) plat.Value {
+	v, ok := p.values[key]
+	if !ok || (!v.until.IsZero() && time.Now().After(v.until)) {
+		return plat.Value{}
+	}
+	return plat.Value{Data: v.data, Revision: v.revision}
+}
+
+// mostValueBytes is the greatest value.
+const mostValueBytes = 1 << 20
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	var req plat.SwapRequest
+	if !readJSON(w, r, &req) || !p.admit(w, &p.writes, &p.counts.Writes) {
+		return
+	}
+	if len(req.Data) > mostValueBytes {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	v, swapped, lose := p.swap(keyOf(r), req)
+	switch {
+	case lose:
+		panic(http.ErrAbortHandler)
+	case !swapped:
+		writeJSON(w, http.StatusConflict, v)
+	default:
+		writeJSON(w, http.StatusOK, plat.Value{Revision: v.Revision})
+	}
+}
+
+func (p *Platform) swap(key string, req plat.SwapRequest) (v plat.Value, swapped, lose bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lose = p.behaviour.LoseReplies > 0
+	if lose {
+		p.behaviour.LoseReplies--
+	}
+	have := p.valueLocked(key)
+	if have.Revision != req.Base {
+		p.counts.Conflicts++
+		return have, false, lose
+	}
+	next := &entryValue{data: req.Data, revision: have.Revision + 1}
+	if req.TTLMs > 0 {
+		next.until = time.Now().Add(time.Duration(req.TTLMs) * time.Millisecond)
+	}
+	p.values[key] = next
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.valueLocked(key), true, lose
+}
--- /dev/null
+++ b/io/stand/server.go
@@ -0,0 +1,64 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ControlPrefix begins the paths by which a stand-in is told how to behave.
+const ControlPrefix = "/_standin/"
+
+// Server is a stand-in that listens.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// Listen starts a server for h on address.
+func Listen(address string, h http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return serveOn(l, h), nil
+}
+
+func serveOn(l net.Listener, h http.Handler) *Server {
+	s := &Server{listener: l, http: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
+	go func() { _ = s.http.Serve(l) }()
+	return s
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close ends the server and its connections.
+func (s *Server) Close() {
+	_ = s.http.Close()
+}
+
+// Shutdown ends the server after the requests in flight.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/stand/system.go
@@ -0,0 +1,342 @@
+package stand
+
+import (
+	"context"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"magnolialedge"
+	"magnolialedge/core/vers"
+	"magnolialedge/io/entry"
+	"magnolialedge/io/plat"
+	iovers "magnolialedge/io/vers"
+)
+
+//go:embed samples/*.json
+var samples embed.FS
+
+// Sample returns a sample document: gandaki or valderrama.
+func Sample(name string) (magnolialedge.Document, error) {
+	data, err := samples.ReadFile("samples/" + name + ".json")
+	if err != nil {
+		return magnolialedge.Document{}, errors.Wrapf(err, "sample %q", name)
+	}
+	return vers.Parse(data)
+}
+
+// SystemConfig constructs a System.
+type SystemConfig struct {
+	Document magnolialedge.Document
+	// EntriesPerRegion is the number of entries in each region.
+	EntriesPerRegion int
+	// CrossRegionDelay is the one-way delay between regions.
+	CrossRegionDelay time.Duration
+	Upstream         UpstreamBehaviour
+	// QueuePerSlot is the number of waiting requests per slot of an upstream.
+	QueuePerSlot int
+	CrashFor     time.Duration
+	Naive        bool
+	LeaveTime    time.Duration
+	Log          io.Writer
+	Seed         uint64
+	// Ports fixes the first entry's ports; zero takes free ones.
+	Ports [3]int
+}
+
+// Secret and Token are used by the entries of a System.
+const (
+	Secret = "stand-in-peer-secret"
+	Token  = "stand-in-operator-token"
+)
+
+// System is the platform, upstreams, links and entries in one process.
+type System struct {
+	Platform  *Platform
+	Upstreams map[string]*Upstream
+	Links     map[string]*Link
+	Entries   []*RunningEntry
+	Document  magnolialedge.Document
+
+	cfg      SystemConfig
+	platform *Server
+	servers  []*Server
+}
+
+// RunningEntry is an entry that runs within a System.
+type RunningEntry struct {
+	*entry.Entry
+	Settings entry.Settings
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+// Stop stops the entry as SIGTERM does and waits for its end.
+func (r *RunningEntry) Stop() error {
+	r.cancel()
+	return <-r.done
+}
+
+// StartSystem starts everything and returns once each entry is ready.
+func StartSystem(cfg SystemConfig) (*System, error) {
+	s := &System{
+		cfg:       cfg,
+		Platform:  NewPlatform(PlatformConfig{WritesPerSecond: 400, ReadsPerSecond: 2000}),
+		Upstreams: map[string]*Upstream{},
+		Links:     map[string]*Link{},
+	}
+	var err error
+	if s.platform, err = Listen("127.0.0.1:0", s.Platform.Handler()); err != nil {
+		return nil, err
+	}
+	if err := s.startUpstreams(); err != nil {
+		return nil, err
+	}
+	if err := s.publish(); err != nil {
+		return nil, err
+	}
+	for _, r := range cfg.Document.Regions {
+		for i := range cfg.EntriesPerRegion {
+			if _, err := s.StartEntry(r.Name, i); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, s.waitReady()
+}
+
+// startUpstreams starts a stand-in for each target and writes its address into
+// the document.
+func (s *System) startUpstreams() error {
+	doc := s.cfg.Document
+	for si, sc := range doc.Services {
+		targets := append([]magnolialedge.Target(nil), sc.Targets...)
+		for i := range targets {
+			u := NewUpstream(UpstreamConfig{
+				Name:      fmt.Sprintf("%s-%d", sc.Name, i),
+				Slots:     targets[i].Slots,
+				Queue:     targets[i].Slots * s.cfg.QueuePerSlot,
+				Seed:      s.cfg.Seed + uint64(si*1000+i*37),
+				CrashFor:  s.cfg.CrashFor,
+				Behaviour: s.cfg.Upstream,
+			})
+			if err := u.Start("127.0.0.1:0"); err != nil {
+				return err
+			}
+			targets[i].Address = u.Address()
+			s.Upstreams[u.Address()] = u
+		}
+		doc = doc.WithService(sc.WithTargets(targets))
+	}
+	s.Document = doc
+	return nil
+}
+
+// publish puts the document into the platform as revision 1.
+func (s *System) publish() error {
+	change := vers.Change{ID: uuid.NewString(), Author: "stand-in", Document: s.Document}
+	data, err := iovers.Encode(vers.Next(magnolialedge.Version{}, change, time.Now()))
+	if err != nil {
+		return err
+	}
+	client := plat.NewClient(plat.ClientConfig{Address: s.platform.Address(), Transport: http.DefaultTransport})
+	_, err = client.Swap(context.Background(), iovers.Key, 0, data, 0)
+	return err
+}
+
+// gateway returns the link from one region to another, which is started when
+// there is none yet.
+func (s *System) gateway(from, to string) (string, error) {
+	name := from + ">" + to
+	if _, ok := s.Links[name]; !ok {
+		s.Links[name] = NewLink(LinkBehaviour{DelayMs: int(s.cfg.CrossRegionDelay.Milliseconds())})
+	}
+	server, err := Listen("127.0.0.1:0", s.Links[name].Handler())
+	if err != nil {
+		return "", err
+	}
+	s.servers = append(s.servers, server)
+	return server.Address(), nil
+}
+
+// StartEntry starts entry number n of region.
+func (s *System) StartEntry(region string, n int) (*RunningEntry, error) {
+	settings := entry.Settings{
+		Name:           fmt.Sprintf("%s-entry-%d", region, n),
+		Region:         region,
+		Zone:           s.zone(region, n),
+		Platform:       s.platform.Address(),
+		PlatformRegion: s.cfg.Document.Regions[0].Name,
+		Secret:         Secret,
+		Token:          Token,
+		Gateways:       map[string]string{},
+		StopLimit:      time.Minute,
+		LeaveTime:      s.cfg.LeaveTime,
+		KeyCapacity:    60000,
+		StoreRate:      20,
+		Seed:           s.cfg.Seed + uint64(n) + 1,
+		Naive:          s.cfg.Naive,
+	}
+	if err := s.addresses(&settings); err != nil {
+		return nil, err
+	}
+	if s.cfg.CrossRegionDelay > 0 {
+		for _, r := range s.cfg.Document.Regions {
+			if r.Name == region {
+				continue
+			}
+			address, err := s.gateway(region, r.Name)
+			if err != nil {
+				return nil, err
+			}
+			settings.Gateways[r.Name] = address
+		}
+	}
+	return s.run(settings)
+}
+
+func (s *System) zone(region string, n int) string {
+	var zones []string
+	for _, z := range s.cfg.Document.Zones {
+		if z.Region == region {
+			zones = append(zones, z.Name)
+		}
+	}
+	return zones[n%len(zones)]
+}
+
+func (s *System) addresses(settings *entry.Settings) error {
+	ports := [3]int{}
+	if len(s.Entries) == 0 {
+		ports = s.cfg.Ports
+	}
+	out := [3]string{}
+	for i, port := range ports {
+		if port != 0 {
+			out[i] = fmt.Sprintf("127.0.0.1:%d", port)
+			continue
+		}
+		address, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		out[i] = address
+	}
+	settings.Callers, settings.Peers, settings.Ops = out[0], out[1], out[2]
+	return nil
+}
+
+var freeMu sync.Mutex
+
+// FreeAddress returns a loopback address that nothing listens on.
+func FreeAddress() (string, error) {
+	freeMu.Lock()
+	defer freeMu.Unlock()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (s *System) run(settings entry.Settings) (*RunningEntry, error) {
+	out := s.cfg.Log
+	if out == nil {
+		out = io.Discard
+	}
+	e, err := entry.New(settings, out)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &RunningEntry{Entry: e, Settings: settings, cancel: cancel, done: make(chan error, 1)}
+	go func() { r.done <- e.Run(ctx) }()
+	s.Entries = append(s.Entries, r)
+	return r, nil
+}
+
+// readyTimeout bounds the start of a System.
+const readyTimeout = 20 * time.Second
+
+// waitReady waits until every entry serves and knows of every other.
+func (s *System) waitReady() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for _, e := range s.Entries {
+		for !s.settled(e) {
+			if ctx.Err() != nil {
+				return errors.Newf("%s isn't ready", e.Settings.Name)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (s *System) settled(e *RunningEntry) bool {
+	dump, err := DumpOf(e.OperatorsAddress(), Token)
+	return err == nil && dump.Revision > 0 && len(dump.Instances) >= len(s.Entries)
+}
+
+// DumpOf returns the dump of the entry with that operators' address.
+func DumpOf(address, token string) (entry.Dump, error) {
+	var out entry.Dump
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/dump", nil)
+	if err != nil {
+		return out, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return out, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return out, errors.Newf("dump: status %d", resp.StatusCode)
+	}
+	return out, json.NewDecoder(resp.Body).Decode(&out)
+}
+
+// CallerAddresses returns the addresses of the entries of region, or of all for
+// an empty region.
+func (s *System) CallerAddresses(region string) []string {
+	var out []string
+	for _, e := range s.Entries {
+		if region == "" || e.Settings.Region == region {
+			out = append(out, e.Self().Callers)
+		}
+	}
+	return out
+}
+
+// Records returns what every upstream has done.
+func (s *System) Records() []UpstreamRecord {
+	var out []UpstreamRecord
+	for _, u := range s.Upstreams {
+		out = append(out, u.Record())
+	}
+	return out
+}
+
+// Close ends everything at once.
+func (s *System) Close() {
+	for _, e := range s.Entries {
+		e.cancel()
+	}
+	for _, u := range s.Upstreams {
+		u.Close()
+	}
+	for _, l := range s.servers {
+		l.Close()
+	}
+	s.platform.Close()
+}
--- /dev/null
+++ b/io/vers/offer.go
@@ -0,0 +1,66 @@
+package vers
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"magnolialedge"
+	"magnolialedge/io/peer/peerpb"
+)
+
+// offerTimeout bounds an offer to one relay.
+const offerTimeout = time.Second
+
+func pollRequest(after int64, wait time.Duration) *peerpb.PollRequest {
+	return &peerpb.PollRequest{After: after, WaitMs: wait.Milliseconds()}
+}
+
+// Offer gives the relays of every region a version that has been accepted.
+func (k *Keeper) Offer(ctx context.Context, revision int64, encoded []byte) {
+	var wg sync.WaitGroup
+	for _, in := range k.relaysOfAll() {
+		if in.Peers != k.cfg.Self.Peers {
+			wg.Go(func() { k.offerTo(ctx, in, &peerpb.Version{Revision: revision, Body: encoded}) })
+		}
+	}
+	wg.Wait()
+}
+
+func (k *Keeper) offerTo(ctx context.Context, in magnolialedge.Instance, v *peerpb.Version) (*peerpb.Revision, bool) {
+	ctx, cancel := context.WithTimeout(k.cfg.Clients.With(ctx), offerTimeout)
+	defer cancel()
+	r, err := k.cfg.Clients.To(in.Region, in.Peers).Offer(ctx, v)
+	return r, err == nil
+}
+
+// InForce is what one entry has in force.
+type InForce struct {
+	Instance magnolialedge.Instance `json:"instance"`
+	Revision int64                  `json:"revision"`
+	Since    time.Time              `json:"since"`
+	Answered bool                   `json:"answered"`
+}
+
+// Survey asks every listed entry what it has in force.
+func (k *Keeper) Survey(ctx context.Context) []InForce {
+	list := k.cfg.Fleet.Instances()
+	out := make([]InForce, len(list))
+	var wg sync.WaitGroup
+	for i, in := range list {
+		wg.Go(func() { out[i] = k.surveyOne(ctx, in) })
+	}
+	wg.Wait()
+	return out
+}
+
+func (k *Keeper) surveyOne(ctx context.Context, in magnolialedge.Instance) InForce {
+	if in.Peers == k.cfg.Self.Peers {
+		return InForce{Instance: in, Revision: k.Version().Revision, Since: k.cfg.Fleet.Since(), Answered: true}
+	}
+	r, ok := k.offerTo(ctx, in, &peerpb.Version{})
+	if !ok {
+		return InForce{Instance: in}
+	}
+	return InForce{Instance: in, Revision: r.GetRevision(), Since: time.UnixMilli(r.GetSinceUnixMs()), Answered: true}
+}
--- /dev/null
+++ b/io/vers/submit.go
@@ -0,0 +1,119 @@
+package vers
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/core/vers"
+	"magnolialedge/io/event"
+)
+
+const (
+	// submitTries bounds the writes of one change.
+	submitTries = 5
+	// submitPause is the pause after a lost reply.
+	submitPause = 200 * time.Millisecond
+)
+
+// Receipt tells an operator what became of a change.
+type Receipt struct {
+	// Revision is that of the change when it was accepted, or else the one in
+	// the store.
+	Revision int64
+	// Stored is the version that a refused change collided with.
+	Stored magnolialedge.Version
+}
+
+// Submit writes a change to the store. The error's kind is KindConflict when
+// another change came first, KindStoreUnavailable when nothing was accepted and
+// KindPending when that can't be known yet.
+func (k *Keeper) Submit(ctx context.Context, c vers.Change) (Receipt, error) {
+	if err := checkSize(c); err != nil {
+		return Receipt{}, err
+	}
+	value, err := k.cfg.Store.Get(ctx, Key)
+	if err != nil {
+		return Receipt{}, unavailable(err)
+	}
+	lost := false
+	for range submitTries {
+		stored, err := Decode(value.Data)
+		if err != nil {
+			return Receipt{}, err
+		}
+		ruling, revision := vers.Rule(stored, c)
+		if ruling != vers.RulingWrite {
+			return k.ruled(ctx, ruling, revision, stored, value)
+		}
+		next := vers.Next(stored, c, time.Now())
+		data, err := Encode(next)
+		if err != nil {
+			return Receipt{}, err
+		}
+		written, err := k.cfg.Store.Swap(ctx, Key, value.Revision, data, 0)
+		switch {
+		case err == nil:
+			return k.accepted(ctx, next, data)
+		case errors.Is(err, magnolialedge.ErrSwapConflict):
+			value = written
+		case errors.Is(err, magnolialedge.ErrReplyLost):
+			lost = true
+			pause(ctx, submitPause)
+		case !lost:
+			return Receipt{}, unavailable(err)
+		default:
+			pause(ctx, submitPause)
+		}
+	}
+	return Receipt{}, pending(c)
+}
+
+// ruled ends a submission whose fate the store decides. A change that a lost
+// reply hid is put in force here too.
+func (k *Keeper) ruled(ctx context.Context, ruling vers.Ruling, revision int64, stored magnolialedge.Version, value magnolialedge.Value) (Receipt, error) {
+	switch ruling {
+	case vers.RulingAccepted:
+		if err := k.AdoptEncoded(value.Data); err != nil {
+			return Receipt{}, err
+		}
+		k.Offer(ctx, stored.Revision, value.Data)
+		return Receipt{Revision: revision, Stored: stored}, nil
+	case vers.RulingTooOld:
+		e := magnolialedge.NewError(magnolialedge.KindConflict, "the change is too old to tell whether it was accepted")
+		return Receipt{Revision: revision, Stored: stored}, e.WithOutcome(magnolialedge.OutcomeUnknown)
+	}
+	detail := fmt.Sprintf("revision %d by %q was accepted first; nothing of this change was", stored.Revision, stored.Author)
+	return Receipt{Revision: revision, Stored: stored}, magnolialedge.NewError(magnolialedge.KindConflict, detail)
+}
+
+func (k *Keeper) accepted(ctx context.Context, v magnolialedge.Version, data []byte) (Receipt, error) {
+	k.cfg.Log.Log(event.VersionAccepted, "revision", v.Revision, "changeId", v.ChangeID, "author", v.Author)
+	if err := k.AdoptEncoded(data); err != nil {
+		return Receipt{}, err
+	}
+	k.Offer(ctx, v.Revision, data)
+	return Receipt{Revision: v.Revision, Stored: v}, nil
+}
+
+func checkSize(c vers.Change) error {
+	data, err := vers.Format(c.Document)
+	if err != nil {
+		return err
+	}
+	if len(data) > vers.MostDocumentBytes {
+		return magnolialedge.NewError(magnolialedge.KindInvalidDocument, "the document is larger than 1048576 bytes")
+	}
+	return nil
+}
+
+func unavailable(err error) error {
+	return magnolialedge.NewError(magnolialedge.KindStoreUnavailable, "nothing was accepted: "+err.Error())
+}
+
+func pending(c vers.Change) error {
+	return magnolialedge.NewError(magnolialedge.KindPending, "the change "+c.ID+" may have been accepted; submit it again unchanged to learn of it")
+}
--- /dev/null
+++ b/kind.go
@@ -0,0 +1,128 @@
+package magnolialedge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind names one reason for an answer that the system makes itself.
+type Kind string
+
+// The closed list of error kinds. Each has one row in the answer table.
+const (
+	KindBadRequest       Kind = "badRequest"
+	KindUnknownService   Kind = "unknownService"
+	KindKeyMissing       Kind = "keyMissing"
+	KindKeyMalformed     Kind = "keyMalformed"
+	KindKeyFromFuture    Kind = "keyFromFuture"
+	KindKeyExpired       Kind = "keyExpired"
+	KindKeyReused        Kind = "keyReused"
+	KindKeyTableFull     Kind = "keyTableFull"
+	KindAttemptMissing   Kind = "attemptMissing"
+	KindSuperseded       Kind = "superseded"
+	KindEarlierUnknown   Kind = "earlierUnknown"
+	KindAnswerTooLarge   Kind = "answerTooLarge"
+	KindQuarantined      Kind = "quarantined"
+	KindOverloaded       Kind = "overloaded"
+	KindNoUpstream       Kind = "noUpstream"
+	KindDeadlineExceeded Kind = "deadlineExceeded"
+	KindUpstreamLost     Kind = "upstreamLost"
+	KindBodyInterrupted  Kind = "bodyInterrupted"
+	KindStoreUnavailable Kind = "storeUnavailable"
+	KindNotReady         Kind = "notReady"
+	KindForbidden        Kind = "forbidden"
+	KindConflict         Kind = "conflict"
+	KindInvalidDocument  Kind = "invalidDocument"
+	KindPending          Kind = "pending"
+	KindInternal         Kind = "internal"
+)
+
+// Answer is the row of the answer table for one kind.
+type Answer struct {
+	// Status is the HTTP status code.
+	Status int
+	// Outcome is the outcome when the request itself gives no other.
+	Outcome Outcome
+	// RetryAfter is the least time after which asking again makes sense; zero
+	// means that the same request can't succeed later.
+	RetryAfter time.Duration
+}
+
+var answers = map[Kind]Answer{
+	KindBadRequest:       {http.StatusBadRequest, OutcomeNotRun, 0},
+	KindUnknownService:   {http.StatusNotFound, OutcomeNotRun, 0},
+	KindKeyMissing:       {http.StatusBadRequest, OutcomeNotRun, 0},
+	KindKeyMalformed:     {http.StatusBadRequest, OutcomeNotRun, 0},
+	KindKeyFromFuture:    {http.StatusBadRequest, OutcomeNotRun, 0},
+	KindKeyExpired:       {http.StatusConflict, OutcomeUnknown, 0},
+	KindKeyReused:        {http.StatusUnprocessableEntity, OutcomeNotRun, 0},
+	KindKeyTableFull:     {http.StatusServiceUnavailable, OutcomeNotRun, 5 * time.Second},
+	KindAttemptMissing:   {http.StatusBadRequest, OutcomeNotRun, 0},
+	KindSuperseded:       {http.StatusConflict, OutcomeUnknown, time.Second},
+	KindEarlierUnknown:   {http.StatusConflict, OutcomeUnknown, 2 * time.Second},
+	KindAnswerTooLarge:   {http.StatusConflict, OutcomeRan, 0},
+	KindQuarantined:      {http.StatusServiceUnavailable, OutcomeNotRun, 30 * time.Second},
+	KindOverloaded:       {http.StatusServiceUnavailable, OutcomeNotRun, time.Second},
+	KindNoUpstream:       {http.StatusServiceUnavailable, OutcomeNotRun, time.Second},
+	KindDeadlineExceeded: {http.StatusGatewayTimeout, OutcomeUnknown, time.Second},
+	KindUpstreamLost:     {http.StatusBadGateway, OutcomeUnknown, time.Second},
+	KindBodyInterrupted:  {http.StatusBadRequest, OutcomeUnknown, 0},
+	KindStoreUnavailable: {http.StatusServiceUnavailable, OutcomeNotRun, 2 * time.Second},
+	KindNotReady:         {http.StatusServiceUnavailable, OutcomeNotRun, time.Second},
+	KindForbidden:        {http.StatusForbidden, OutcomeNotRun, 0},
+	KindConflict:         {http.StatusConflict, OutcomeNotRun, 0},
+	KindInvalidDocument:  {http.StatusUnprocessableEntity, OutcomeNotRun, 0},
+	KindPending:          {http.StatusAccepted, OutcomeUnknown, 2 * time.Second},
+	KindInternal:         {http.StatusInternalServerError, OutcomeUnknown, time.Second},
+}
+
+// Kinds returns every kind of the closed list, in no order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(answers))
+	for k := range answers {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// AnswerFor returns the answer of kind; an unlisted kind answers as KindInternal.
+func AnswerFor(kind Kind) Answer {
+	if a, ok := answers[kind]; ok {
+		return a
+	}
+	return answers[KindInternal]
+}
+
+// Error is a failure of a listed kind.
+type Error struct {
+	Kind    Kind
+	Outcome Outcome
+	Detail  string
+}
+
+// Error returns the kind and the detail.
+func (e *Error) Error() string {
+	return string(e.Kind) + ": " + e.Detail
+}
+
+// NewError returns an Error of kind with the outcome of the answer table.
+func NewError(kind Kind, detail string) *Error {
+	return &Error{Kind: kind, Outcome: AnswerFor(kind).Outcome, Detail: detail}
+}
+
+// WithOutcome returns a copy of e that carries outcome.
+func (e Error) WithOutcome(outcome Outcome) *Error {
+	e.Outcome = outcome
+	return &e
+}
+
+// KindOf returns the kind of err, or KindInternal when err is of no listed kind.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindInternal
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,49 @@
+package magnolialedge
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Value is a value of the key-value service with its revision. Revision 0
+// stands for an absent key.
+type Value struct {
+	Data     []byte
+	Revision int64
+}
+
+// ErrSwapConflict tells that a compare-and-swap found another revision.
+var ErrSwapConflict = errors.New("compare-and-swap found another revision")
+
+// ErrReplyLost tells that a call to the key-value service may have taken effect.
+var ErrReplyLost = errors.New("the service's reply was lost")
+
+// Store is the platform's key-value service.
+type Store interface {
+	// Get returns the value of key; an absent key has revision 0.
+	Get(ctx context.Context, key string) (Value, error)
+	// Swap writes data if key is at revision base and returns the new
+	// revision. On ErrSwapConflict the returned value is the present one.
+	// A ttl above zero lets the value lapse.
+	Swap(ctx context.Context, key string, base int64, data []byte, ttl time.Duration) (Value, error)
+	// Watch returns as soon as key has a revision above after, or the present
+	// value when wait has passed.
+	Watch(ctx context.Context, key string, after int64, wait time.Duration) (Value, error)
+}
+
+// Instance is an entry as the platform's list shows it.
+type Instance struct {
+	Name    string `json:"name"`
+	Region  string `json:"region"`
+	Zone    string `json:"zone"`
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// Lister is the platform's list of live and leaving instances.
+type Lister interface {
+	Instances(ctx context.Context) ([]Instance, error)
+}
