Refuse ambiguous requests and write once what may run once

Cause: the transport writes a bodyless request with an idempotency key, or one of a safe method, a second time when its connection breaks; the HTTP library hides a Content-Length beside chunked; a single upstream's shed or 500 made the request wait for an untried one until its deadline. Ruled out: a body wrapper for every method, which sent empty POSTs chunked and kept upstreams from seeing a cancellation. Change: lower-case key headers and no GetBody on requests that run once; a listener that keeps heads; waiting only for targets not tried yet; a spare answer that is relayed when no better one comes; tests of an intermediary's duties. Unknown transfer codings keep the library's 501.

--- a/core/call/plan.go
+++ b/core/call/plan.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"cmp"
 	"time"
 
 	"magnolialedge"
@@ -77,6 +78,8 @@
 	lost     int
 	unsure   bool
 	done     bool
+	// last is the kind of the last failure, or empty before the first.
+	last magnolialedge.Kind
 }
 
 // NewPlan returns a Plan for one request.
@@ -179,8 +182,9 @@
 		return p.giveUp(magnolialedge.KindDeadlineExceeded)
 	}
 	if r.NoUpstream {
-		return p.giveUp(magnolialedge.KindOverloaded)
+		return p.giveUp(cmp.Or(p.last, magnolialedge.KindOverloaded))
 	}
+	p.last = kindOfFailure(r)
 	if p.maySendAgain(r) && p.cfg.Budgets.SpendRetry() {
 		return p.send()
 	}
@@ -188,7 +192,7 @@
 		p.done = true
 		return Action{Step: StepRelay}
 	}
-	return p.giveUp(kindOfFailure(r))
+	return p.giveUp(p.last)
 }
 
 func (p *Plan) maySendAgain(r Result) bool {
--- a/core/proc/balancer.go
+++ b/core/proc/balancer.go
@@ -235,12 +235,14 @@
 	return nil
 }
 
-// Capacity returns the slots of the targets that may take work now.
-func (b *Balancer) Capacity(now time.Time) int {
+// Capacity returns the slots of the targets that may take req now or when they
+// have room.
+func (b *Balancer) Capacity(now time.Time, req magnolialedge.PickRequest) int {
 	n := 0
 	for i := range b.ups {
 		u := &b.ups[i]
-		if !u.draining(now) && u.health.at(now) == healthy {
+		fit := !u.draining(now) && u.health.at(now) == healthy
+		if fit && !slices.Contains(req.Avoid, u.target.Address) {
 			n += u.target.Slots
 		}
 	}
--- a/core/proc/service.go
+++ b/core/proc/service.go
@@ -126,7 +126,7 @@
 	if s.balancer == nil {
 		return false
 	}
-	return s.queue.Push(now, w, s.balancer.Capacity(now), s.balancer.Mean())
+	return s.queue.Push(now, w, s.balancer.Capacity(now, w.Request), s.balancer.Mean())
 }
 
 // Leave takes w out of the queue and reports whether it still waited.
--- a/io/call/body.go
+++ b/io/call/body.go
@@ -45,7 +45,9 @@
 		b.rest = r.Body
 		return b, nil
 	}
-	b.length = int64(len(data))
+	if len(r.Trailer) == 0 {
+		b.length = int64(len(data))
+	}
 	return b, nil
 }
 
--- a/io/call/exchange.go
+++ b/io/call/exchange.go
@@ -40,6 +40,8 @@
 	tried    []string
 	attempts []*attempt
 	ended    chan *attempt
+	// spare is an answer that is relayed when no better one comes.
+	spare *attempt
 }
 
 // mostEnds is the room for ends of attempts that nobody waits for any more.
@@ -76,6 +78,9 @@
 		case call.StepRelay:
 			return final{attempt: last}
 		case call.StepGiveUp:
+			if x.spare != nil {
+				return final{attempt: x.spare}
+			}
 			return final{refusal: x.giveUp(action)}
 		}
 		last, action = x.next(timers)
@@ -93,7 +98,7 @@
 		}
 		action := x.plan.Ended(time.Now(), a.result)
 		if action.Step != call.StepRelay {
-			a.discard()
+			x.putAside(a)
 		}
 		return a, action
 	case <-t.hedge.C:
@@ -109,6 +114,16 @@
 	}
 }
 
+// putAside keeps the answer of an upstream that ran the request, for the case
+// that no better one comes, and drops any other.
+func (x *exchange) putAside(a *attempt) {
+	if a.resp == nil || !a.whole || a.result.Outcome != magnolialedge.OutcomeRan {
+		a.discard()
+		return
+	}
+	x.spare = a
+}
+
 // send starts an attempt, after a wait for room if there is none.
 func (x *exchange) send() bool {
 	req := magnolialedge.PickRequest{
--- a/io/call/server.go
+++ b/io/call/server.go
@@ -98,7 +98,7 @@
 	id := requestID(r.Header)
 	w.Header().Set(HeaderID, id)
 	w.Header().Set(HeaderEntry, s.cfg.Callers)
-	service, target, err := route(r)
+	service, target, err := s.read(w, r)
 	if err != nil {
 		s.refuse(w, "", id, refusalOf(err))
 		return
@@ -125,6 +125,15 @@
 	return uuid.NewString()
 }
 
+// read refuses ambiguous requests and returns where the others go.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (string, *url.URL, error) {
+	if conn.IsAmbiguous(r) {
+		w.Header().Set("Connection", "close")
+		return "", nil, magnolialedge.NewError(magnolialedge.KindBadRequest, "the request is chunked and carries a Content-Length")
+	}
+	return route(r)
+}
+
 // servicePrefix begins the paths that name their service.
 const servicePrefix = "/s/"
 
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"strings"
 	"sync"
 	"time"
 )
@@ -82,23 +83,31 @@
 		resp, err := t.shared.RoundTrip(req)
 		return resp, use, err
 	}
-	req.Body = singleBody(req.Body)
+	writeOnce(req)
 	resp, err := t.fresh.RoundTrip(req)
 	return resp, use, err
 }
 
-// onceBody is a request body that the transport can't send again. Without it
-// the transport takes a bodyless request with an idempotency key as one that it
-// may write a second time.
+// onceBody is a request body that the transport can't send again.
 type onceBody struct {
 	io.ReadCloser
 }
 
-func singleBody(body io.ReadCloser) io.ReadCloser {
-	if body == nil {
-		body = http.NoBody
+// writeOnce keeps the transport from writing req a second time. The transport
+// does so with a bodyless request of a safe method, and with one that has an
+// idempotency key under its canonical name.
+func writeOnce(req *http.Request) {
+	req.GetBody = nil
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		req.Body = onceBody{req.Body}
+	}
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if vs, ok := req.Header[name]; ok {
+			delete(req.Header, name)
+			req.Header[strings.ToLower(name)] = vs
+		}
 	}
-	return onceBody{body}
 }
 
 // CloseIdle closes the unused connections to address.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -179,6 +179,10 @@
 			MaxHeaderBytes:    mostHeaderBytes,
 			ErrorLog:          discardLog,
 		}
+		if i == forCallers {
+			conn.KeepHeads(e.servers[i])
+			e.listeners[i] = conn.HeadListener{Listener: e.listeners[i]}
+		}
 		go func() { _ = e.servers[i].Serve(e.listeners[i]) }()
 	}
 }
--- /dev/null
+++ b/io/entry/help_test.go
@@ -0,0 +1,117 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"magnolialedge"
+	"magnolialedge/core/vers"
+	"magnolialedge/io/entry"
+	"magnolialedge/io/stand"
+)
+
+// oneService is a document of one region whose only service "echo" has the
+// targets at addresses.
+func oneService(finder magnolialedge.Finder, addresses ...string) magnolialedge.Document {
+	s := magnolialedge.Service{
+		Name:          "echo",
+		Finder:        finder,
+		DeadlineMs:    3000,
+		RetryPercent:  20,
+		HedgePercent:  0,
+		NonIdempotent: []magnolialedge.Rule{{Method: "POST", Path: "/pay"}},
+	}
+	for _, a := range addresses {
+		s.Targets = append(s.Targets, magnolialedge.Target{Address: a, Zone: "z", Slots: 4, MaxConnections: 200})
+	}
+	return magnolialedge.Document{
+		Schema:    1,
+		Regions:   []magnolialedge.Region{{Name: "r", MaxEntries: 4}},
+		Zones:     []magnolialedge.Zone{{Name: "z", Region: "r"}},
+		Measuring: magnolialedge.Measuring{BytesPerSecond: 10000, OperationsPerSecond: 100},
+		Services:  []magnolialedge.Service{s},
+	}
+}
+
+// serving starts n entries before upstreams that serve h.
+func serving(t *testing.T, n int, finder magnolialedge.Finder, hs ...http.Handler) *stand.System {
+	t.Helper()
+	var addresses []string
+	for _, h := range hs {
+		u := httptest.NewServer(h)
+		t.Cleanup(u.Close)
+		addresses = append(addresses, u.Listener.Addr().String())
+	}
+	s, err := stand.StartSystem(stand.SystemConfig{
+		Document:         oneService(finder, addresses...),
+		EntriesPerRegion: n,
+		KeepTargets:      true,
+		Seed:             1,
+	})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func urlOf(s *stand.System, entry int, path string) string {
+	return "http://" + s.Entries[entry].Self().Callers + "/s/echo" + path
+}
+
+func newKey() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+func send(t *testing.T, method, url, body string, header ...string) (*http.Response, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	require.NoError(t, err)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(got)
+}
+
+// raw writes bytes to an entry and reads one answer.
+func raw(t *testing.T, address, text string) *http.Response {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(c, text)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	return resp
+}
+
+// change submits doc through the first entry.
+func change(t *testing.T, s *stand.System, doc magnolialedge.Document) {
+	t.Helper()
+	data, err := vers.Format(doc)
+	require.NoError(t, err)
+	dump, err := stand.DumpOf(s.Entries[0].OperatorsAddress(), stand.Token)
+	require.NoError(t, err)
+	body, err := json.Marshal(entry.ChangeRequest{Base: dump.Revision, ChangeID: newKey(), Author: "test", Document: data})
+	require.NoError(t, err)
+	resp, got := send(t, "POST", "http://"+s.Entries[0].OperatorsAddress()+"/v1/config", string(body), "Authorization", "Bearer "+stand.Token)
+	require.Equal(t, http.StatusOK, resp.StatusCode, got)
+}
--- a/io/stand/system.go
+++ b/io/stand/system.go
@@ -43,11 +43,14 @@
 	Upstream         UpstreamBehaviour
 	// QueuePerSlot is the number of waiting requests per slot of an upstream.
 	QueuePerSlot int
-	CrashFor     time.Duration
-	Naive        bool
-	LeaveTime    time.Duration
-	Log          io.Writer
-	Seed         uint64
+	// KeepTargets leaves the document's targets as they are and starts no
+	// upstream.
+	KeepTargets bool
+	CrashFor    time.Duration
+	Naive       bool
+	LeaveTime   time.Duration
+	Log         io.Writer
+	Seed        uint64
 	// Ports fixes the first entry's ports; zero takes free ones.
 	Ports [3]int
 }
@@ -117,6 +120,10 @@
 // the document.
 func (s *System) startUpstreams() error {
 	doc := s.cfg.Document
+	s.Document = doc
+	if s.cfg.KeepTargets {
+		return nil
+	}
 	for si, sc := range doc.Services {
 		targets := append([]magnolialedge.Target(nil), sc.Targets...)
 		for i := range targets {
