--- a/io/proc/fleet.go
+++ b/io/proc/fleet.go
@@ -193,7 +193,11 @@
 	if s, ok := f.Service(service); ok {
 		rate = s.Rate() * leastShare
 	}
-	return proc.Steer(f.Instances(), f.cfg.Region, service, rate)
+	list, share := proc.Steer(f.Instances(), f.cfg.Region, service, rate)
+	if f.cfg.Naive {
+		share = len(list)
+	}
+	return list, share
 }
 
 // leastShare turns this entry's rate into an estimate of the region's.
--- a/io/stand/load.go
+++ b/io/stand/load.go
@@ -15,7 +15,10 @@
 // LoadConfig constructs a Load.
 type LoadConfig struct {
 	// Entries are the callers' addresses of entries to ask first.
-	Entries  []string
+	Entries []string
+	// Groups replaces Entries by one list for each group of callers, as for
+	// the callers of each region.
+	Groups   [][]string
 	Services []string
 	// Rate is the number of new requests a second over all services.
 	Rate     float64
@@ -34,6 +37,9 @@
 	Resends int
 	Timeout time.Duration
 	Seed    uint64
+	// Crash makes every request the same one, which crashes the upstreams that
+	// run it.
+	Crash bool
 	// Direct are upstream addresses that are called without any entry.
 	Direct []string
 }
@@ -106,8 +112,11 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}
 	for i := range max(1, cfg.Callers) {
 		entries := append([]string(nil), cfg.Entries...)
+		if n := len(cfg.Groups); n > 0 {
+			entries = append(entries, cfg.Groups[i%n]...)
+		}
 		if n := len(entries); n > 0 {
-			k := i % n
+			k := i / max(1, len(cfg.Groups)) % n
 			entries = append(entries[k:], entries[:k]...)
 		}
 		l.callers = append(l.callers, NewCaller(entries, client))
@@ -163,6 +172,11 @@
 	p.Tag = fmt.Sprintf("tag-%d-%d", l.cfg.Seed, n)
 	p.Method = http.MethodGet
 	p.Path = fmt.Sprintf("/items/%d", random.IntN(1000))
+	if l.cfg.Crash {
+		p.Path = "/crash"
+		p.Header = http.Header{HeaderCrash: {"1"}}
+		return p
+	}
 	share := random.Float64() * 100
 	switch {
 	case share < l.cfg.KeyedPercent:
--- a/io/stand/system.go
+++ b/io/stand/system.go
@@ -38,6 +38,9 @@
 	Document magnolialedge.Document
 	// EntriesPerRegion is the number of entries in each region.
 	EntriesPerRegion int
+	// Entries is the number of entries over all regions, when it isn't the
+	// same in each.
+	Entries int
 	// CrossRegionDelay is the one-way delay between regions.
 	CrossRegionDelay time.Duration
 	Upstream         UpstreamBehaviour
@@ -106,11 +109,10 @@
 	if err := s.publish(); err != nil {
 		return nil, err
 	}
-	for _, r := range cfg.Document.Regions {
-		for i := range cfg.EntriesPerRegion {
-			if _, err := s.StartEntry(r.Name, i); err != nil {
-				return nil, err
-			}
+	regions := cfg.Document.Regions
+	for i := range max(cfg.Entries, cfg.EntriesPerRegion*len(regions)) {
+		if _, err := s.StartEntry(regions[i%len(regions)].Name, i/len(regions)); err != nil {
+			return nil, err
 		}
 	}
 	return s, s.waitReady()
