--- a/core/proc/upstream.go
+++ b/core/proc/upstream.go
@@ -15,7 +15,7 @@
 	// latencyMemory is the time after which a sample has lost most weight.
 	latencyMemory = time.Second
 	// latencyGain is the weight of one new sample.
-	latencyGain = 0.1
+	latencyGain = 0.01
 	// drainHold is how long an upstream's word that it drains is believed
 	// without being said again.
 	drainHold = 5 * time.Minute
