--- a/core/proc/service.go
+++ b/core/proc/service.go
@@ -103,9 +103,10 @@
 	return s.retries.Spend()
 }
 
-// SpendHedge implements call.Budgets.
+// SpendHedge implements call.Budgets. Nothing is hedged while requests wait for
+// room, because a hedge would take the room from one of them.
 func (s *Service) SpendHedge() bool {
-	return s.hedger.Spend()
+	return s.queue.Len() == 0 && s.hedger.Spend()
 }
 
 // Hedger returns the control of the hedge delay.
