Measure on separate processes; test the decisions with random steps

Cause: one process ran out of descriptors at 130% load, and nothing held the decisions against arbitrary orders of events.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,6 +18,7 @@
 	Upstream upstreamCommand `cmd:"" help:"Run one upstream."`
 	Link     linkCommand     `cmd:"" help:"Run a gateway that adds delay and can be cut or fall silent."`
 	Load     loadCommand     `cmd:"" help:"Call entries as callers do, and print what came back."`
+	Entry    entryCommand    `cmd:"" hidden:"" help:"Run an entry instance, for the commands that start many."`
 	Measure  measureCommand  `cmd:"" help:"Measure the decisions against the naive ones, and print a table."`
 }
 
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Println("listening on", s.Address())
+	fmt.Println(stand.ListeningOn(s.Address()))
 	<-ctx.Done()
 	s.Close()
 	return nil
@@ -77,7 +77,7 @@
 	if err := u.Start(c.Listen); err != nil {
 		return err
 	}
-	fmt.Println("listening on", u.Address())
+	fmt.Println(stand.ListeningOn(u.Address()))
 	<-ctx.Done()
 	u.Close()
 	return nil
--- /dev/null
+++ b/core/proc/budget_test.go
@@ -0,0 +1,76 @@
+package proc
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"magnolialedge"
+)
+
+// TestMeasuringBudgetIsNeverExceeded spends from the ledgers of any number of
+// entries up to the greatest, whose clocks jump and which restart at any time.
+func TestMeasuringBudgetIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 12).Draw(t, "entries")
+		bytes := rapid.Float64Range(0, 5000).Draw(t, "bytes")
+		operations := rapid.Float64Range(0, 50).Draw(t, "operations")
+		doc := magnolialedge.Document{
+			Regions:   []magnolialedge.Region{{Name: "r", MaxEntries: entries}, {Name: "q", MaxEntries: 1}},
+			Measuring: magnolialedge.Measuring{BytesPerSecond: bytes, OperationsPerSecond: operations},
+		}
+		start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		now := start
+		ledgers := make([]*Ledger, entries)
+		opened := make([]time.Time, entries)
+		for i := range ledgers {
+			ledgers[i] = NewLedger(doc, "r")
+			ledgers[i].Spend(now, "s", "r", Cost{})
+			opened[i] = now
+		}
+		var spent Cost
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, entries-1).Draw(t, "entry")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				ledgers[i] = NewLedger(doc, "r")
+			case 1:
+				ledgers[i] = ledgers[i].WithDocument(doc, now)
+			}
+			at := now.Add(-time.Duration(rapid.IntRange(0, 300).Draw(t, "clock back")) * time.Millisecond)
+			cost := Cost{Bytes: rapid.Float64Range(0, 400).Draw(t, "size"), Operations: 1}
+			if ledgers[i].Spend(at, "s", "r", cost) {
+				spent.Bytes += cost.Bytes
+				spent.Operations++
+			}
+			if ledgers[i].Spend(at, "s", "q", cost) {
+				t.Fatal("a message crossed regions without a budget")
+			}
+		}
+		passed := now.Sub(start).Seconds()
+		if spent.Bytes > bytes*passed+1e-6 || spent.Operations > operations*passed+1e-6 {
+			t.Fatalf("spent %+v in %.3f s", spent, passed)
+		}
+	})
+}
+
+func TestShareBudgetAllowsItsShareAndAReserve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := rapid.Float64Range(0, 50).Draw(t, "percent")
+		b := NewShareBudget(percent)
+		earned, spent := 0, 0
+		for range rapid.IntRange(0, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "ordinary") {
+				b.Earn()
+				earned++
+			} else if b.Spend() {
+				spent++
+			}
+		}
+		if float64(spent) > float64(earned)*percent/100+shareReserve+1e-6 {
+			t.Fatalf("spent %d after %d at %.1f%%", spent, earned, percent)
+		}
+	})
+}
--- /dev/null
+++ b/io/stand/plot.go
@@ -0,0 +1,58 @@
+package stand
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 11 * vg.Centimeter
+)
+
+// PlotLoads writes an SVG of p99 and p999 over the load for each policy.
+func PlotLoads(path string, all []Measurement) error {
+	p := plot.New()
+	p.Title.Text = "Latency from the intended start"
+	p.X.Label.Text = "load in % of the capacity"
+	p.Y.Label.Text = "ms"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Legend.Left = true
+	var lines []any
+	for _, policy := range []string{policyName(true), policyName(false)} {
+		lines = append(lines,
+			policy+" p99", points(all, policy, func(m Measurement) float64 { return m.P99Ms }),
+			policy+" p999", points(all, policy, func(m Measurement) float64 { return m.P999Ms }),
+		)
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	return errors.Wrap(p.Save(plotWidth, plotHeight, path), "plot")
+}
+
+func points(all []Measurement, policy string, value func(Measurement) float64) plotter.XYs {
+	var out plotter.XYs
+	for _, m := range all {
+		if m.Policy == policy {
+			out = append(out, plotter.XY{X: m.Percent, Y: value(m)})
+		}
+	}
+	return out
+}
+
+// BudgetTable returns the measuring budget and what was spent of it, as a table.
+func BudgetTable(m Measurement) string {
+	out := "| from | to | bytes/s | budget | messages/s | budget |\n|---|---|---|---|---|---|\n"
+	for _, l := range m.Spent {
+		out += fmt.Sprintf("| %s | %s | %.0f | %.0f | %.2f | %.2f |\n", l.From, l.To, l.BytesPerSecond, l.BudgetBytesPerSecond, l.OperationsPerSecond, l.BudgetOperationPerSecond)
+	}
+	return out
+}
--- a/io/stand/system.go
+++ b/io/stand/system.go
@@ -104,7 +104,7 @@
 	if err := s.startUpstreams(); err != nil {
 		return nil, err
 	}
-	if err := s.publish(); err != nil {
+	if err := publishTo(s.platform.Address(), s.Document); err != nil {
 		return nil, err
 	}
 	regions := cfg.Document.Regions
@@ -147,14 +147,14 @@
 	return nil
 }
 
-// publish puts the document into the platform as revision 1.
-func (s *System) publish() error {
-	change := vers.Change{ID: uuid.NewString(), Author: "stand-in", Document: s.Document}
+// publishTo puts a document into the platform as revision 1.
+func publishTo(platform string, doc magnolialedge.Document) error {
+	change := vers.Change{ID: uuid.NewString(), Author: "stand-in", Document: doc}
 	data, err := iovers.Encode(vers.Next(magnolialedge.Version{}, change, time.Now()))
 	if err != nil {
 		return err
 	}
-	client := plat.NewClient(plat.ClientConfig{Address: s.platform.Address(), Transport: http.DefaultTransport})
+	client := plat.NewClient(plat.ClientConfig{Address: platform, Transport: http.DefaultTransport})
 	_, err = client.Swap(context.Background(), iovers.Key, 0, data, 0)
 	return err
 }
