--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,6 +20,7 @@
 	Load     loadCommand     `cmd:"" help:"Call entries as callers do, and print what came back."`
 	Entry    entryCommand    `cmd:"" hidden:"" help:"Run an entry instance, for the commands that start many."`
 	Measure  measureCommand  `cmd:"" help:"Measure the decisions against the naive ones, and print a table."`
+	Slopes   slopesCommand   `cmd:"" help:"Measure what entries cost without requests, over their number and that of targets."`
 	Prove    proveCommand    `cmd:"" help:"Meet faults under load and check what must always hold."`
 }
 
--- /dev/null
+++ b/core/call/plan_test.go
@@ -0,0 +1,154 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"magnolialedge"
+)
+
+var planStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// openBudgets allow every extra attempt and count them.
+type openBudgets struct {
+	retries, hedges int
+}
+
+func (b *openBudgets) SpendRetry() bool {
+	b.retries++
+	return true
+}
+
+func (b *openBudgets) SpendHedge() bool {
+	b.hedges++
+	return true
+}
+
+// TestPlanKeepsItsPromisesInAnyOrderOfEvents checks for any order of results,
+// hedges, stalls and the deadline that a request that runs once is written once,
+// that notRun is said only of what wasn't run, that there is one final answer,
+// and that a request loses at most two upstreams.
+func TestPlanKeepsItsPromisesInAnyOrderOfEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		class := rapid.SampledFrom([]Class{Idempotent, Once, Keyed}).Draw(t, "class")
+		p := NewPlan(PlanConfig{Class: class, Deadline: planStart.Add(time.Second), Replayable: rapid.Bool().Draw(t, "replayable"), Budgets: &openBudgets{}})
+		now := planStart
+		inFlight, written, lost, finals := 0, 0, 0, 0
+		take := func(a Action) {
+			switch a.Step {
+			case StepSend:
+				inFlight++
+				if class != Idempotent && written > 0 {
+					t.Fatal("sent again after it may have been run")
+				}
+				if lost >= mostLost {
+					t.Fatal("sent to another upstream after two were lost")
+				}
+			case StepRelay, StepGiveUp:
+				finals++
+				if a.Step == StepGiveUp && a.Outcome == magnolialedge.OutcomeNotRun && (written > 0 || inFlight > 0) {
+					t.Fatal("notRun was said of a request that may have been run")
+				}
+			}
+		}
+		take(p.Begin(now))
+		for range 20 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				take(p.HedgeDue(now))
+			case 1:
+				take(p.StallDue(now))
+			case 2:
+				if now.After(planStart.Add(time.Second)) {
+					take(p.Expired())
+				}
+			default:
+				if inFlight == 0 {
+					continue
+				}
+				inFlight--
+				r := drawResult(t)
+				if r.Outcome != magnolialedge.OutcomeNotRun {
+					written++
+				}
+				if r.Lost {
+					lost++
+				}
+				take(p.Ended(now, r))
+			}
+		}
+		if finals > 1 {
+			t.Fatal("two final answers")
+		}
+		if inFlight == 0 && finals == 0 {
+			t.Fatal("no answer although nothing is in flight")
+		}
+	})
+}
+
+func drawResult(t *rapid.T) Result {
+	return rapid.SampledFrom([]Result{
+		{Outcome: magnolialedge.OutcomeNotRun},
+		{Outcome: magnolialedge.OutcomeNotRun, NoUpstream: true},
+		{Outcome: magnolialedge.OutcomeNotRun, Status: 503},
+		{Outcome: magnolialedge.OutcomeNotRun, Status: 503, BodyUsed: true},
+		{Outcome: magnolialedge.OutcomeRan, Status: 200},
+		{Outcome: magnolialedge.OutcomeRan, Status: 500},
+		{Outcome: magnolialedge.OutcomeUnknown, Lost: true},
+		{Outcome: magnolialedge.OutcomeUnknown},
+	}).Draw(t, "result")
+}
+
+func TestClassOfRequests(t *testing.T) {
+	rules := []magnolialedge.Rule{{Method: "POST", Path: "/permits/*/close"}, {Method: "PUT", Path: "/fees/**"}}
+	for _, c := range []struct {
+		method, path string
+		want         Class
+	}{
+		{"POST", "/permits/7/close", Keyed},
+		{"POST", "//permits/./7/close/", Keyed},
+		{"POST", "/permits/%37/clos%65", Keyed},
+		{"POST", "/permits/7/x/../close", Keyed},
+		{"POST", "/permits/7/8/close", Once},
+		{"POST", "/permits", Once},
+		{"PUT", "/fees/1/2/3", Keyed},
+		{"PUT", "/fees", Keyed},
+		{"PUT", "/fee", Idempotent},
+		{"GET", "/permits/7/close", Idempotent},
+		{"PATCH", "/x", Once},
+		{"BREW", "/x", Once},
+	} {
+		require.Equal(t, c.want, ClassOf(rules, c.method, c.path), "%s %s", c.method, c.path)
+	}
+}
+
+func FuzzParseKey(f *testing.F) {
+	f.Add(uuid.Must(uuid.NewV7()).String(), int64(0))
+	f.Add("{0190a0a0-0000-7000-8000-000000000000}", int64(1))
+	f.Add("7fffffff-ffff-7000-8000-000000000000", int64(1<<40))
+	f.Fuzz(func(t *testing.T, text string, ms int64) {
+		now := time.UnixMilli(ms)
+		k, err := ParseKey(text, now)
+		if err != nil {
+			require.Contains(t, []magnolialedge.Kind{magnolialedge.KindKeyMissing, magnolialedge.KindKeyMalformed, magnolialedge.KindKeyFromFuture, magnolialedge.KindKeyExpired}, magnolialedge.KindOf(err))
+			return
+		}
+		require.False(t, k.Issued.After(now.Add(ClockSkew)))
+		require.True(t, k.Issued.Add(KeyLife).After(now))
+	})
+}
+
+func FuzzMatchPath(f *testing.F) {
+	f.Add("/a/*/b", "/a/1/b")
+	f.Add("/a/**", "/a/%2e%2e/b")
+	f.Fuzz(func(t *testing.T, pattern, path string) {
+		if MatchPath(pattern, path) {
+			require.True(t, MatchPath(pattern, path+"/"))
+		}
+	})
+}
--- /dev/null
+++ b/io/peer/convert_test.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"magnolialedge/core/call"
+	core "magnolialedge/core/proc"
+	"magnolialedge/io/peer/peerpb"
+)
+
+func TestQuestionAndAnswerSurviveTheWire(t *testing.T) {
+	ask := core.FenceAsk{
+		Key:         call.Key{ID: uuid.Must(uuid.NewV7()), Issued: time.UnixMilli(1700000000000)},
+		Fingerprint: 7,
+		Generation:  8,
+		By:          core.Owner{Peer: "p", Generation: 9, Seq: 10},
+	}
+	got, err := AskFromWire(AskToWire(ask, time.Second))
+	require.NoError(t, err)
+	require.Equal(t, ask, got)
+	reply := core.FenceReply{Status: core.FenceEnded, Outcome: "ran", Answer: &core.StoredAnswer{Status: 200, Body: []byte("x")}, MovedTo: ask.By}
+	m, err := ReplyToWire(reply)
+	require.NoError(t, err)
+	back, err := ReplyFromWire(m)
+	require.NoError(t, err)
+	require.Equal(t, reply, back)
+}
+
+func FuzzPeerMessages(f *testing.F) {
+	whole, err := proto.Marshal(AskToWire(core.FenceAsk{By: core.Owner{Peer: "p"}}, time.Second))
+	require.NoError(f, err)
+	f.Add(whole)
+	f.Add([]byte{0x0a, 0x01, 0x00})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var ask peerpb.AskRequest
+		if proto.Unmarshal(data, &ask) == nil {
+			_, _ = AskFromWire(&ask)
+		}
+		var reply peerpb.AskReply
+		if proto.Unmarshal(data, &reply) == nil {
+			_, _ = ReplyFromWire(&reply)
+		}
+	})
+}
--- a/io/stand/fault.go
+++ b/io/stand/fault.go
@@ -1,19 +1,13 @@
 package stand
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/google/uuid"
-
-	"magnolialedge/core/vers"
 	"magnolialedge/io/entry"
 )
 
@@ -116,7 +110,7 @@
 
 func (p *proof) submitAndWait(by *WorldEntry, frozen string) {
 	begun := time.Now()
-	answer, err := p.submit(by, "with a frozen relay")
+	answer, err := p.world.SubmitComment(by, "with a frozen relay")
 	if err != nil || answer.Revision == 0 {
 		return
 	}
@@ -149,40 +143,6 @@
 	return out
 }
 
-// submit submits the present document with another comment.
-func (p *proof) submit(by *WorldEntry, comment string) (entry.ChangeAnswer, error) {
-	var answer entry.ChangeAnswer
-	dump, err := DumpOf(by.Operators, Token)
-	if err != nil {
-		return answer, err
-	}
-	doc := p.world.Document
-	doc.Comment = comment + " " + uuid.NewString()
-	data, err := vers.Format(doc)
-	if err != nil {
-		return answer, err
-	}
-	body, err := json.Marshal(entry.ChangeRequest{Base: dump.Revision, ChangeID: uuid.NewString(), Author: by.Name, Document: data})
-	if err != nil {
-		return answer, err
-	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+by.Operators+"/v1/config", bytes.NewReader(body))
-	if err != nil {
-		return answer, err
-	}
-	req.Header.Set("Authorization", "Bearer "+Token)
-	resp, err := controlClient.Do(req)
-	if err != nil {
-		return answer, err
-	}
-	defer resp.Body.Close()
-	err = json.NewDecoder(resp.Body).Decode(&answer)
-	if resp.StatusCode != http.StatusOK {
-		answer.Revision = 0
-	}
-	return answer, err
-}
-
 func freezeEntry(p *proof, random *rand.Rand, length time.Duration) {
 	e := anyEntry(p, random)
 	e.Signal(syscall.SIGSTOP)
@@ -229,7 +189,7 @@
 		var wg sync.WaitGroup
 		for n, e := range pair {
 			wg.Go(func() {
-				if a, err := p.submit(e, "one of two"); err == nil {
+				if a, err := p.world.SubmitComment(e, "one of two"); err == nil {
 					accepted[n] = a.Revision
 				}
 			})
--- a/io/stand/process.go
+++ b/io/stand/process.go
@@ -76,6 +76,11 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// Pid returns the id of the process.
+func (p *Process) Pid() int {
+	return p.cmd.Process.Pid
+}
+
 // Kill ends the process at once.
 func (p *Process) Kill() {
 	p.Signal(syscall.SIGKILL)
--- a/io/stand/world.go
+++ b/io/stand/world.go
@@ -25,9 +25,12 @@
 	Delay        time.Duration
 	Upstream     UpstreamBehaviour
 	QueuePerSlot int
-	Naive        bool
-	Seed         uint64
-	LeaveTime    time.Duration
+	// KeepTargets leaves the document's targets as they are and starts no
+	// upstream.
+	KeepTargets bool
+	Naive       bool
+	Seed        uint64
+	LeaveTime   time.Duration
 	// LogDir takes a log file of each entry; empty keeps no logs.
 	LogDir string
 }
@@ -108,6 +111,10 @@
 
 func (w *World) startUpstreams() error {
 	doc := w.cfg.Document
+	w.Document = doc
+	if w.cfg.KeepTargets {
+		return nil
+	}
 	for si, sc := range doc.Services {
 		targets := slices.Clone(sc.Targets)
 		for i, t := range targets {
--- a/io/vers/submit.go
+++ b/io/vers/submit.go
@@ -80,7 +80,7 @@
 		if err := k.AdoptEncoded(value.Data); err != nil {
 			return Receipt{}, err
 		}
-		k.Offer(ctx, stored.Revision, value.Data)
+		go k.Offer(context.WithoutCancel(ctx), stored.Revision, value.Data)
 		return Receipt{Revision: revision, Stored: stored}, nil
 	case vers.RulingTooOld:
 		e := magnolialedge.NewError(magnolialedge.KindConflict, "the change is too old to tell whether it was accepted")
@@ -95,7 +95,7 @@
 	if err := k.AdoptEncoded(data); err != nil {
 		return Receipt{}, err
 	}
-	k.Offer(ctx, v.Revision, data)
+	go k.Offer(context.WithoutCancel(ctx), v.Revision, data)
 	return Receipt{Revision: v.Revision, Stored: v}, nil
 }
 
