Tell peers at once of a leaving entry; bound what an entry takes on

Cause: in the proof with 16 entries, replacing every entry left 23 of 4,164 reads and uploads without a whole answer: peers went on naming a leaving entry until the list said so, up to the list's lag beyond the callers' time to live. Claims that found no call rate waited 2 s before they were refused. Ruled out: a longer leave time alone, which a list late by 10 s defeats.

--- a/io/call/claims.go
+++ b/io/call/claims.go
@@ -101,11 +101,18 @@
 	return magnolialedge.NewError(magnolialedge.KindStoreUnavailable, "the key could not be recorded: "+err.Error())
 }
 
-// paceStep is how long a claim waits before it looks for call rate again.
-const paceStep = 5 * time.Millisecond
+const (
+	// paceStep is how long a claim waits before it looks for call rate again.
+	paceStep = 5 * time.Millisecond
+	// paceLimit is how long a claim waits for call rate. Another entry may have
+	// some left.
+	paceLimit = 200 * time.Millisecond
+)
 
-// pace waits until this entry's share of the call rate allows a call.
+// pace waits a little until this entry's share of the call rate allows a call.
 func (c *Claims) pace(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, paceLimit)
+	defer cancel()
 	for !c.mayCall() {
 		select {
 		case <-time.After(paceStep):
--- a/io/call/resolve.go
+++ b/io/call/resolve.go
@@ -46,12 +46,18 @@
 	list, share := s.cfg.Fleet.Steer(service)
 	list = slices.Clone(list)
 	rand.Shuffle(share, func(i, j int) { list[i], list[j] = list[j], list[i] })
+	var last []string
 	for _, in := range list {
-		if s.leaving.Load() && in.Peers == s.cfg.Peer {
-			continue
+		switch {
+		case in.Peers != s.cfg.Peer:
+			out.Addresses = append(out.Addresses, in.Callers)
+		case s.isBusy():
+			last = append(last, in.Callers)
+		case !s.leaving.Load():
+			out.Addresses = append(out.Addresses, in.Callers)
 		}
-		out.Addresses = append(out.Addresses, in.Callers)
 	}
+	out.Addresses = append(out.Addresses, last...)
 	out.Reason = s.reason(list)
 	return out
 }
@@ -60,6 +66,8 @@
 	switch {
 	case s.leaving.Load():
 		return "this entry is leaving"
+	case s.isBusy():
+		return "this entry has too many requests in flight"
 	case len(list) > 0 && list[0].Region != s.cfg.Fleet.Region():
 		return "no entry of this region is listed"
 	}
--- a/io/call/server.go
+++ b/io/call/server.go
@@ -42,6 +42,8 @@
 	Claims     *Claims
 	Metrics    *Metrics
 	Log        event.Logger
+	// Most is the number of requests in flight above which more are refused.
+	Most int64
 	// Tell passes news on to peers.
 	Tell func(News)
 }
@@ -85,6 +87,14 @@
 	s.leaving.Store(true)
 }
 
+// busyShare is the share of the most requests in flight from which resolve
+// answers name this entry last.
+const busyShare = 0.8
+
+func (s *Server) isBusy() bool {
+	return float64(s.inFlight.Load()) > busyShare*float64(s.cfg.Most)
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	begun := time.Now()
 	s.inFlight.Add(1)
@@ -100,6 +110,10 @@
 	defer s.recovered(w, id)
 	w.Header().Set(HeaderID, id)
 	w.Header().Set(HeaderEntry, s.cfg.Callers)
+	if s.inFlight.Load() > s.cfg.Most {
+		s.refuse(w, "", id, newRefusal(magnolialedge.KindOverloaded, magnolialedge.OutcomeNotRun, "this entry has too many requests in flight"))
+		return
+	}
 	service, target, err := s.read(w, r)
 	if err != nil {
 		s.refuse(w, "", id, refusalOf(err))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -70,6 +70,8 @@
 		Zone:    s.Zone,
 		Callers: e.listeners[forCallers].Addr().String(),
 		Peers:   e.listeners[forPeers].Addr().String(),
+
+		StartedAt: e.start.UnixMilli(),
 	}
 	e.build()
 	var err error
@@ -125,6 +127,7 @@
 		Metrics:    call.NewMetrics(e.registry),
 		Log:        e.log,
 		Tell:       e.teller.tell,
+		Most:       s.MostRequests,
 	})
 	e.registerGauges()
 }
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -98,6 +98,12 @@
 	return &peerpb.AdoptReply{Adopted: true}, nil
 }
 
+// Leave implements peerpb.Peer.
+func (p *peerService) Leave(_ context.Context, m *peerpb.Leaver) (*peerpb.Nothing, error) {
+	p.entry.fleet.Leaves(m.GetPeer(), m.GetStartedAtUnixMs())
+	return &peerpb.Nothing{}, nil
+}
+
 // Succeed implements peerpb.Peer.
 func (p *peerService) Succeed(_ context.Context, m *peerpb.Successor) (*peerpb.Nothing, error) {
 	p.entry.heirs.set(m.GetStopped(), m.GetHeir())
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	stdlog "log"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,7 @@
 	leaving := e.self
 	leaving.Leaving = true
 	_ = e.platform.Announce(work, leaving)
+	e.tellLeaving(work)
 	sleep(work, e.settings.LeaveTime)
 	ctx, cancel := context.WithTimeout(work, e.settings.StopLimit)
 	defer cancel()
@@ -51,6 +53,24 @@
 	return errors.Wrap(err, "stop")
 }
 
+// leaveTimeout bounds the telling of one peer that this entry leaves.
+const leaveTimeout = time.Second
+
+// tellLeaving tells every peer that this entry leaves, so that their resolve
+// answers leave it out before the platform's list does.
+func (e *Entry) tellLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(e.clients.With(ctx), leaveTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, in := range e.others() {
+		wg.Go(func() {
+			m := &peerpb.Leaver{Peer: e.self.Peers, StartedAtUnixMs: e.self.StartedAt}
+			_, _ = e.clients.To(in.Region, in.Peers).Leave(ctx, m)
+		})
+	}
+	wg.Wait()
+}
+
 // closeTimeout bounds the end of the peers' and operators' listeners.
 const closeTimeout = time.Second
 
--- a/io/proc/fleet.go
+++ b/io/proc/fleet.go
@@ -1,6 +1,7 @@
 package proc
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,14 @@
 	// peers maps the callers' address of each entry seen of late to its peer
 	// address; it is guarded by mu.
 	peers map[string]knownPeer
+	// left holds the starts of peers that said that they leave; it is guarded
+	// by mu.
+	left map[string]leftPeer
+}
+
+type leftPeer struct {
+	startedAt int64
+	told      time.Time
 }
 
 type knownPeer struct {
@@ -47,7 +56,7 @@
 
 // NewFleet returns a Fleet that has no version yet.
 func NewFleet(cfg FleetConfig) *Fleet {
-	f := &Fleet{cfg: cfg, peers: map[string]knownPeer{}, ledger: proc.NewLedger(magnolialedge.Document{}, cfg.Region)}
+	f := &Fleet{cfg: cfg, peers: map[string]knownPeer{}, left: map[string]leftPeer{}, ledger: proc.NewLedger(magnolialedge.Document{}, cfg.Region)}
 	f.services.Store(&map[string]*Service{})
 	f.instances.Store(&[]magnolialedge.Instance{})
 	return f
@@ -154,8 +163,26 @@
 func (f *Fleet) SetInstances(list []magnolialedge.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.instances.Store(&list)
 	f.rememberPeers(list, time.Now())
+	f.markLeft(list)
+}
+
+// Leaves takes a peer's word that it leaves, ahead of the list.
+func (f *Fleet) Leaves(peer string, startedAt int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left[peer] = leftPeer{startedAt: startedAt, told: time.Now()}
+	f.markLeft(slices.Clone(f.Instances()))
+}
+
+// markLeft publishes list with the peers marked that said that they leave.
+func (f *Fleet) markLeft(list []magnolialedge.Instance) {
+	for i := range list {
+		if l, ok := f.left[list[i].Peers]; ok && l.startedAt == list[i].StartedAt {
+			list[i].Leaving = true
+		}
+	}
+	f.instances.Store(&list)
 	f.reshare()
 }
 
@@ -163,6 +190,11 @@
 	for _, in := range list {
 		f.peers[in.Callers] = knownPeer{address: in.Peers, seen: now}
 	}
+	for peer, l := range f.left {
+		if now.Sub(l.told) > call.KeyLife {
+			delete(f.left, peer)
+		}
+	}
 	for callers, p := range f.peers {
 		if now.Sub(p.seen) > call.KeyLife {
 			delete(f.peers, callers)
--- a/io/stand/system.go
+++ b/io/stand/system.go
@@ -205,6 +205,7 @@
 		StopLimit:      time.Minute,
 		LeaveTime:      s.cfg.LeaveTime,
 		KeyCapacity:    60000,
+		MostRequests:   4000,
 		StoreRate:      25,
 		Seed:           s.cfg.Seed + uint64(n) + 1,
 		Naive:          s.cfg.Naive,
--- a/store.go
+++ b/store.go
@@ -40,7 +40,10 @@
 	Zone    string `json:"zone"`
 	Callers string `json:"callers"`
 	Peers   string `json:"peers"`
-	Leaving bool   `json:"leaving,omitempty"`
+	// StartedAt tells two starts at the same addresses apart, in Unix
+	// milliseconds.
+	StartedAt int64 `json:"startedAt,omitempty"`
+	Leaving   bool  `json:"leaving,omitempty"`
 }
 
 // Lister is the platform's list of live and leaving instances.
