Let a new entry learn of drains before it serves

Cause: in the proof, an upstream got 2 requests more than 3 s after its drain began, from entries that had been replaced since and knew nothing of it. Change: an entry asks up to three peers for the drains they know of before it takes its first version. Ruled out: a shorter hold of a drain, which sends work to it sooner.

--- a/core/proc/balancer.go
+++ b/core/proc/balancer.go
@@ -212,7 +212,7 @@
 	u.reportAt = now
 	u.reportLoad = load.InFlight + load.Queued
 	if load.Draining {
-		u.drainUntil = now.Add(drainHold)
+		u.drainUntil = now.Add(DrainHold)
 	}
 }
 
--- a/core/proc/balancer_test.go
+++ b/core/proc/balancer_test.go
@@ -174,6 +174,6 @@
 	b.Report(pickStart.Add(time.Millisecond), address, magnolialedge.LoadReport{InFlight: 1})
 	_, ok := b.Pick(pickStart.Add(time.Second), magnolialedge.PickRequest{Probe: true})
 	require.False(t, ok)
-	_, ok = b.Pick(pickStart.Add(drainHold+time.Second), magnolialedge.PickRequest{Probe: true})
+	_, ok = b.Pick(pickStart.Add(DrainHold+time.Second), magnolialedge.PickRequest{Probe: true})
 	require.True(t, ok)
 }
--- a/core/proc/upstream.go
+++ b/core/proc/upstream.go
@@ -16,15 +16,16 @@
 	latencyMemory = time.Second
 	// latencyGain is the weight of one new sample.
 	latencyGain = 0.01
-	// drainHold is how long an upstream's word that it drains is believed
-	// without being said again.
-	drainHold = 5 * time.Minute
 	// reportLife is the age at which a load report has no weight left.
 	reportLife = 30 * time.Millisecond
 	// warmUp is the time over which a new upstream comes to full use.
 	warmUp = 2 * time.Second
 )
 
+// DrainHold is how long an upstream's word that it drains is believed without
+// being said again.
+const DrainHold = 5 * time.Minute
+
 // upstream is what one entry knows of one target.
 type upstream struct {
 	target     magnolialedge.Target
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -162,7 +162,10 @@
 	e.log.Log(event.Started, "callers", e.self.Callers, "peers", e.self.Peers, "operators", e.OperatorsAddress())
 	go e.listLoop(work)
 	go e.announceLoop(work)
-	go e.keeper.Run(work)
+	go func() {
+		e.teller.recall(work)
+		e.keeper.Run(work)
+	}()
 	go e.tellReady(work)
 	<-ctx.Done()
 	return e.stop(work)
--- a/io/entry/peers.go
+++ b/io/entry/peers.go
@@ -98,6 +98,11 @@
 	return &peerpb.AdoptReply{Adopted: true}, nil
 }
 
+// Recall implements peerpb.Peer.
+func (p *peerService) Recall(context.Context, *peerpb.Nothing) (*peerpb.Drains, error) {
+	return p.entry.teller.drains(), nil
+}
+
 // Leave implements peerpb.Peer.
 func (p *peerService) Leave(_ context.Context, m *peerpb.Leaver) (*peerpb.Nothing, error) {
 	p.entry.fleet.Leaves(m.GetPeer(), m.GetStartedAtUnixMs())
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -105,3 +105,28 @@
 	require.NoError(t, err)
 	require.NotContains(t, after.Addresses, stopped)
 }
+
+// TestNewEntryKnowsOfADrainBeforeItServes starts an entry while an upstream
+// drains, which must get nothing from it.
+func TestNewEntryKnowsOfADrainBeforeItServes(t *testing.T) {
+	var drained, other atomic.Int64
+	draining := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		drained.Add(1)
+		w.Header().Set("Upstream-Load", "inFlight=0 queued=0 draining")
+	})
+	s := serving(t, 2, magnolialedge.FinderStore, draining, echoUpstream(&other))
+	for range 20 {
+		send(t, "GET", urlOf(s, 0, "/a"), "")
+	}
+	require.EqualValues(t, 1, drained.Load())
+	_, err := s.StartEntry("r", 7)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		d, err := stand.DumpOf(s.Entries[2].OperatorsAddress(), stand.Token)
+		return err == nil && d.Revision > 0
+	}, 5*time.Second, 10*time.Millisecond)
+	for range 20 {
+		send(t, "GET", urlOf(s, 2, "/a"), "")
+	}
+	require.EqualValues(t, 1, drained.Load())
+}
--- a/io/entry/tell.go
+++ b/io/entry/tell.go
@@ -28,11 +28,17 @@
 type teller struct {
 	entry *Entry
 	mu    sync.Mutex
-	told  map[string]time.Time
+	told  map[string]drain
+}
+
+// drain is what was told of a draining upstream.
+type drain struct {
+	service string
+	at      time.Time
 }
 
 func newTeller(e *Entry) *teller {
-	return &teller{entry: e, told: map[string]time.Time{}}
+	return &teller{entry: e, told: map[string]drain{}}
 }
 
 func (t *teller) tell(n call.News) {
@@ -97,13 +103,65 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	if now.Sub(t.told[n.Draining]) < tellAgain {
+	before, known := t.told[n.Draining]
+	if known && now.Sub(before.at) < tellAgain {
 		return false
 	}
-	if t.told[n.Draining].IsZero() {
+	if !known {
 		t.entry.log.Log(event.UpstreamDraining, "service", n.Service, "upstream", n.Draining)
 	}
-	t.told[n.Draining] = now
+	t.told[n.Draining] = drain{service: n.Service, at: now}
+	return true
+}
+
+// drains returns the drains known of late.
+func (t *teller) drains() *peerpb.Drains {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := &peerpb.Drains{}
+	for address, d := range t.told {
+		if time.Since(d.at) > core.DrainHold {
+			delete(t.told, address)
+			continue
+		}
+		out.Drains = append(out.Drains, &peerpb.News{Service: d.service, Draining: address, Region: t.entry.self.Region})
+	}
+	return out
+}
+
+// mostRecalled is the number of peers that an entry asks for drains when it
+// starts.
+const mostRecalled = 3
+
+// recall learns from peers, before this entry serves, which upstreams drain.
+func (t *teller) recall(ctx context.Context) {
+	list, err := t.entry.platform.Instances(ctx)
+	if err != nil {
+		return
+	}
+	t.entry.fleet.SetInstances(list)
+	answered := 0
+	for _, in := range t.entry.others() {
+		if answered == mostRecalled {
+			return
+		}
+		if t.recallFrom(ctx, in) {
+			answered++
+		}
+	}
+}
+
+func (t *teller) recallFrom(ctx context.Context, in magnolialedge.Instance) bool {
+	ctx, cancel := context.WithTimeout(t.entry.clients.With(ctx), tellTimeout)
+	defer cancel()
+	drains, err := t.entry.clients.To(in.Region, in.Peers).Recall(ctx, &peerpb.Nothing{})
+	if err != nil {
+		return false
+	}
+	for _, m := range drains.GetDrains() {
+		t.first(call.News{Service: m.GetService(), Draining: m.GetDraining()})
+		t.entry.fleet.StartDrained(m.GetService(), m.GetDraining())
+	}
 	return true
 }
 
--- a/io/proc/fleet.go
+++ b/io/proc/fleet.go
@@ -42,6 +42,13 @@
 	// left holds the starts of peers that said that they leave; it is guarded
 	// by mu.
 	left map[string]leftPeer
+	// drained is applied to the first version; it is guarded by mu.
+	drained []drainedTarget
+}
+
+// drainedTarget is a target that drained before this entry had a version.
+type drainedTarget struct {
+	service, address string
 }
 
 type leftPeer struct {
@@ -138,10 +145,26 @@
 	fresh := &Service{core: proc.NewService(cfg), view: view}
 	if first {
 		fresh.core.SkipWarmUp()
+		f.applyDrained(fresh.core, sc.Name, now)
 	}
 	return fresh
 }
 
+// StartDrained makes a target start as draining, on the word of a peer.
+func (f *Fleet) StartDrained(service, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drained = append(f.drained, drainedTarget{service: service, address: address})
+}
+
+func (f *Fleet) applyDrained(s *proc.Service, name string, now time.Time) {
+	for _, d := range f.drained {
+		if d.service == name {
+			s.DrainTarget(now, d.address)
+		}
+	}
+}
+
 func destinations(doc magnolialedge.Document, sc magnolialedge.Service, entries int) map[string]conn.Destination {
 	out := make(map[string]conn.Destination, len(sc.Targets))
 	for _, t := range sc.Targets {
--- a/io/stand/fault.go
+++ b/io/stand/fault.go
@@ -43,7 +43,7 @@
 		{"list late by 10 s", 12, 4, true, whileServiceIs(PlatformBehaviour{ListLagMs: 10000})},
 		{"two operators", 6, 3, true, twoOperators},
 		{"stop an entry", 14, 10, true, stopEntry},
-		{"replace every entry", 30, 10, true, replaceEntries},
+		{"replace every entry", 30, 30, true, replaceEntries},
 		{"a third silent", 6, 3, false, silentConnections},
 		{"drain an upstream", 8, 5, true, drainUpstream},
 	}
