Send the list of instances only when it has changed

Cause: without any request, bytes between regions grew with the square of the entries: 23,608 a second at 14 entries, 42,974 at 19, 413,232 at 60, 1,599,563 at 120, because each entry read the whole list once a second. Ruled out: the polls of relays, which grow with the entries only; fewer readings, which make the list later still. Change: the list is asked for with its entity tag; the stand-in platform answers 304 when nothing has changed. Crashing requests of the measurement come evenly. Measured: not yet at those sizes; the tests of lagging lists pass.

--- a/io/plat/store.go
+++ b/io/plat/store.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,6 +38,10 @@
 type Client struct {
 	base string
 	http *http.Client
+	// mu guards the last list of instances and its entity tag.
+	mu   sync.Mutex
+	tag  string
+	list []magnolialedge.Instance
 }
 
 // NewClient returns a Client.
@@ -76,16 +82,37 @@
 	return v, errors.Mark(err, magnolialedge.ErrReplyLost)
 }
 
-// Instances implements magnolialedge.Lister.
+// Instances implements magnolialedge.Lister. A list that hasn't changed isn't
+// sent again when the platform gives entity tags.
 func (c *Client) Instances(ctx context.Context) ([]magnolialedge.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	body, _, err := c.do(ctx, http.MethodGet, c.base+PathInstances, nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+PathInstances, nil)
 	if err != nil {
 		return nil, err
 	}
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return slices.Clone(c.list), nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("the platform answered %d", resp.StatusCode)
+	}
 	var list []magnolialedge.Instance
-	return list, errors.Wrap(json.Unmarshal(body, &list), "list of instances")
+	if err := json.NewDecoder(io.LimitReader(resp.Body, mostReplyBytes)).Decode(&list); err != nil {
+		return nil, errors.Wrap(err, "list of instances")
+	}
+	c.tag, c.list = resp.Header.Get("ETag"), list
+	return slices.Clone(list), nil
 }
 
 // Announce tells the platform of this instance. It stands for what the
--- a/io/stand/load.go
+++ b/io/stand/load.go
@@ -137,12 +137,22 @@
 		intended := next
 		plan := l.plan(random, n)
 		wg.Go(func() { l.one(ctx, intended, plan) })
-		next = next.Add(time.Duration(random.ExpFloat64() / l.cfg.Rate * float64(time.Second)))
+		next = next.Add(l.gap(random))
 	}
 	wg.Wait()
 	return l.Result()
 }
 
+// gap returns the time to the next request: even for a request that crashes
+// upstreams, else exponential.
+func (l *Load) gap(random *rand.Rand) time.Duration {
+	mean := float64(time.Second) / l.cfg.Rate
+	if l.cfg.Crash {
+		return time.Duration(mean)
+	}
+	return time.Duration(random.ExpFloat64() * mean)
+}
+
 // Result returns what has been seen so far.
 func (l *Load) Result() LoadResult {
 	l.mu.Lock()
--- a/io/stand/platform.go
+++ b/io/stand/platform.go
@@ -1,6 +1,8 @@
 package stand
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -8,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"magnolialedge"
 	"magnolialedge/io/plat"
 )
@@ -97,9 +101,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+plat.PathKeys, p.get)
 	mux.HandleFunc("PUT "+plat.PathKeys, p.put)
-	mux.HandleFunc("GET "+plat.PathInstances, func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, p.instances.list(time.Now(), p.lag()))
-	})
+	mux.HandleFunc("GET "+plat.PathInstances, p.list)
 	mux.HandleFunc("POST "+plat.PathInstances, func(w http.ResponseWriter, r *http.Request) {
 		var in magnolialedge.Instance
 		if readJSON(w, r, &in) {
@@ -159,6 +161,23 @@
 	return true
 }
 
+// list answers with the instances, or with 304 when the caller has them already.
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	body, err := json.Marshal(p.instances.list(time.Now(), p.lag()))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
 func keyOf(r *http.Request) string {
 	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), plat.PathKeys))
 	if err != nil {
