--- a/core/proc/keys.go
+++ b/core/proc/keys.go
@@ -127,7 +127,7 @@
 
 const (
 	// DefaultKeyCapacity is the number of keys that an entry remembers.
-	DefaultKeyCapacity = 60000
+	DefaultKeyCapacity = 40000
 	// mostAnswerBytes is the memory for stored answers of one entry.
 	mostAnswerBytes = 12 << 20
 	// vouchMargin is how long after its start an entry can't vouch for keys:
--- a/io/entry/settings.go
+++ b/io/entry/settings.go
@@ -25,7 +25,7 @@
 	PlatformRegion string        `help:"Region that the platform stands in, when a gateway leads there." env:"MAGNOLIALEDGE_PLATFORM_REGION"`
 	StopLimit      time.Duration `help:"Longest time that a stop waits for requests in flight." default:"60s" env:"MAGNOLIALEDGE_STOP_LIMIT"`
 	LeaveTime      time.Duration `help:"Time from leaving the resolve answers to the end of new requests." default:"6s" env:"MAGNOLIALEDGE_LEAVE_TIME"`
-	KeyCapacity    int           `help:"Number of idempotency keys that are remembered." default:"60000" env:"MAGNOLIALEDGE_KEY_CAPACITY"`
+	KeyCapacity    int           `help:"Number of idempotency keys that are remembered." default:"40000" env:"MAGNOLIALEDGE_KEY_CAPACITY"`
 	MostRequests   int64         `help:"Requests in flight above which more are refused." default:"4000" env:"MAGNOLIALEDGE_MOST_REQUESTS"`
 	StoreRate      float64       `help:"This instance's share of the platform's calls a second." default:"25" env:"MAGNOLIALEDGE_STORE_RATE"`
 	Seed           uint64        `help:"Seed of the random choices; 0 takes one from the clock." default:"0" env:"MAGNOLIALEDGE_SEED"`
--- a/io/stand/system.go
+++ b/io/stand/system.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"magnolialedge"
+	core "magnolialedge/core/proc"
 	"magnolialedge/core/vers"
 	"magnolialedge/io/entry"
 	"magnolialedge/io/plat"
@@ -204,7 +205,7 @@
 		Gateways:       map[string]string{},
 		StopLimit:      time.Minute,
 		LeaveTime:      s.cfg.LeaveTime,
-		KeyCapacity:    60000,
+		KeyCapacity:    core.DefaultKeyCapacity,
 		MostRequests:   4000,
 		StoreRate:      25,
 		Seed:           s.cfg.Seed + uint64(n) + 1,
