--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -65,12 +65,11 @@
 		return nil, err
 	}
 	e.self = magnolialedge.Instance{
-		Name:    s.Name,
-		Region:  s.Region,
-		Zone:    s.Zone,
-		Callers: e.listeners[forCallers].Addr().String(),
-		Peers:   e.listeners[forPeers].Addr().String(),
-
+		Name:      s.Name,
+		Region:    s.Region,
+		Zone:      s.Zone,
+		Callers:   e.listeners[forCallers].Addr().String(),
+		Peers:     e.listeners[forPeers].Addr().String(),
 		StartedAt: e.start.UnixMilli(),
 	}
 	e.build()
--- a/io/stand/measure.go
+++ b/io/stand/measure.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -41,41 +37,6 @@
 	Fault func(w *World)
 }
 
-// Measurement is what one scenario gave under one policy.
-type Measurement struct {
-	Scenario string
-	Policy   string
-	Percent  float64
-	Offered  float64
-	Goodput  float64
-	LoadResult
-	// ExtraPercent is the share of runs at upstreams beyond the requests.
-	ExtraPercent float64
-	// FaultPercent is the share of calls that reached the faulty upstream
-	// later than a second after the fault began.
-	FaultPercent float64
-	// Budget shows whether the measuring budget was kept, by pair of regions.
-	Spent []SpentLine
-	// RecoveryMs is the time from the end of an overload until calls are
-	// answered as before.
-	RecoveryMs float64
-	// Crashes is the number of upstreams lost.
-	Crashes int64
-	// StolenPercent is the processor time that the machine's host gave to
-	// others meanwhile. Latencies of a run with more than a few percent say
-	// little.
-	StolenPercent float64
-}
-
-// SpentLine is what was spent on measuring between two regions.
-type SpentLine struct {
-	From, To                 string
-	BytesPerSecond           float64
-	BudgetBytesPerSecond     float64
-	OperationsPerSecond      float64
-	BudgetOperationPerSecond float64
-}
-
 // MeasureConfig constructs measurements.
 type MeasureConfig struct {
 	Document magnolialedge.Document
@@ -114,50 +75,50 @@
 		return Measurement{}, err
 	}
 	defer w.Close()
-	services := w.Document.Services
+	cfg.services = w.Document.Services
 	if sc.Services > 0 {
-		services = services[:sc.Services]
+		cfg.services = cfg.services[:sc.Services]
 	}
-	cfg.services = services
-	rate := Capacity(services) * sc.Percent / 100
+	rate := Capacity(cfg.services) * sc.Percent / 100
 	w.runLoad(ctx, cfg, rate, measureWarmUp, nil)
+	m := w.measured(ctx, cfg, sc, rate)
+	if sc.Percent > 100 {
+		m.RecoveryMs = w.recovery(ctx, cfg)
+	}
+	return m, nil
+}
+
+// measured runs the part of a scenario that counts.
+func (w *World) measured(ctx context.Context, cfg MeasureConfig, sc Scenario, rate float64) Measurement {
 	before := w.totals()
 	begun := time.Now()
 	processor := readProcessor()
 	if sc.Fault != nil {
 		sc.Fault(w)
 	}
-	var crash *Load
 	if sc.Crash {
-		crash = w.crashLoad(cfg)
-		go crash.Run(ctx)
+		go w.crashLoad(cfg).Run(ctx)
 	}
 	marked := w.watchFaulty(begun)
 	result := w.runLoad(ctx, cfg, rate, cfg.Length, nil)
-	took := time.Since(begun).Seconds()
+	seconds := time.Since(begun).Seconds() + measureWarmUp.Seconds()
 	after := w.totals()
-	recovery := 0.0
-	if sc.Percent > 100 {
-		recovery = w.recovery(ctx, cfg)
-	}
 	m := Measurement{
-		Scenario:   sc.Name,
-		Policy:     policyName(cfg.Naive),
-		Percent:    sc.Percent,
-		Offered:    rate,
-		Goodput:    float64(result.OK) / cfg.Length.Seconds(),
-		LoadResult: result,
-		RecoveryMs: recovery,
-		Crashes:    after.crashes - before.crashes,
-
+		Scenario:      sc.Name,
+		Policy:        policyName(cfg.Naive),
+		Percent:       sc.Percent,
+		Offered:       rate,
+		Goodput:       float64(result.OK) / cfg.Length.Seconds(),
+		LoadResult:    result,
+		Crashes:       after.crashes - before.crashes,
 		StolenPercent: readProcessor().stolenSince(processor),
-		Spent:         w.spent(took + measureWarmUp.Seconds()),
+		Spent:         w.spent(seconds),
 	}
 	if result.Sent > 0 {
 		m.ExtraPercent = 100 * (float64(after.ran-before.ran)/float64(result.Sent) - 1)
 		m.FaultPercent = 100 * float64(marked()) / float64(result.Sent)
 	}
-	return m, nil
+	return m
 }
 
 func policyName(naive bool) string {
@@ -254,45 +215,6 @@
 	return out
 }
 
-// spent sums what every entry spent on measuring, by pair of regions.
-func (w *World) spent(seconds float64) []SpentLine {
-	sums := map[[2]string]*SpentLine{}
-	var order [][2]string
-	for _, dump := range w.Dumps() {
-		for _, line := range dump.Measuring {
-			pair := [2]string{dump.Instance.Region, line.To}
-			if sums[pair] == nil {
-				sums[pair] = &SpentLine{From: pair[0], To: pair[1]}
-				order = append(order, pair)
-			}
-			sums[pair].BytesPerSecond += line.Bytes / seconds
-			sums[pair].OperationsPerSecond += line.Operations / seconds
-		}
-	}
-	out := make([]SpentLine, 0, len(order))
-	for _, pair := range order {
-		w.budget(sums[pair])
-		out = append(out, *sums[pair])
-	}
-	return out
-}
-
-func (w *World) budget(l *SpentLine) {
-	m := w.Document.Measuring
-	if l.From == l.To {
-		n := float64(len(w.Document.Services))
-		l.BudgetBytesPerSecond = m.BytesPerSecond * n
-		l.BudgetOperationPerSecond = m.OperationsPerSecond * n
-		return
-	}
-	for _, p := range m.CrossRegion {
-		if p.From == l.From && p.To == l.To {
-			l.BudgetBytesPerSecond = p.BytesPerSecond
-			l.BudgetOperationPerSecond = p.OperationsPerSecond
-		}
-	}
-}
-
 // crashLoad sends the same request every 200 ms, which crashes each upstream
 // that runs it.
 func (w *World) crashLoad(cfg MeasureConfig) *Load {
@@ -301,25 +223,3 @@
 	lc.Crash = true
 	return NewLoad(lc)
 }
-
-// String returns the measurement as a row of a table.
-func (m Measurement) String() string {
-	refused := int64(0)
-	for _, n := range m.Refused {
-		refused += n
-	}
-	return fmt.Sprintf("| %s | %s | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %d | %d | %d | %.1f | %.2f | %d | %.0f | %.0f | %.0f | %s |",
-		m.Scenario, m.Policy, m.Percent, m.Offered, m.Goodput, m.P50Ms, m.P99Ms, m.P999Ms, refused, m.Failed, m.Lost+m.Cut+m.Foreign, m.ExtraPercent, m.FaultPercent, m.Crashes, m.RefusedP99Ms, m.RecoveryMs, m.StolenPercent, kindsOf(m.Refused))
-}
-
-// kindsOf returns the refusals by kind, in the order of the names.
-func kindsOf(refused map[string]int64) string {
-	var out []string
-	for _, kind := range slices.Sorted(maps.Keys(refused)) {
-		out = append(out, fmt.Sprintf("%s %d", kind, refused[kind]))
-	}
-	return strings.Join(out, ", ")
-}
-
-// MeasureHeader is the head of the table of measurements.
-const MeasureHeader = "| scenario | policy | load % | offered/s | answered/s | p50 ms | p99 ms | p999 ms | refused | upstream errors | lost, cut or foreign | extra runs % | at faulty after 1 s % | upstreams lost | refusals p99 ms | recovery ms | stolen % | refusals by kind |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
--- a/io/stand/plot.go
+++ b/io/stand/plot.go
@@ -1,8 +1,6 @@
 package stand
 
 import (
-	"fmt"
-
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -47,12 +45,3 @@
 	}
 	return out
 }
-
-// BudgetTable returns the measuring budget and what was spent of it, as a table.
-func BudgetTable(m Measurement) string {
-	out := "| from | to | bytes/s | budget | messages/s | budget |\n|---|---|---|---|---|---|\n"
-	for _, l := range m.Spent {
-		out += fmt.Sprintf("| %s | %s | %.0f | %.0f | %.2f | %.2f |\n", l.From, l.To, l.BytesPerSecond, l.BudgetBytesPerSecond, l.OperationsPerSecond, l.BudgetOperationPerSecond)
-	}
-	return out
-}
