--- a/io/stand/link.go
+++ b/io/stand/link.go
@@ -16,6 +16,8 @@
 	DelayMs int `json:"delayMs"`
 	// Cut refuses new connections and breaks open ones.
 	Cut bool `json:"cut"`
+	// Frozen holds all bytes back until it ends.
+	Frozen bool `json:"frozen"`
 	// Silent drops the bytes of the connections that are open now, while new
 	// ones work.
 	Silent bool `json:"silent"`
@@ -157,6 +159,9 @@
 	due  time.Time
 }
 
+// frozenStep is how often a frozen link looks whether it goes on.
+const frozenStep = 5 * time.Millisecond
+
 // mostChunks bounds what is under way in one direction of a connection.
 const mostChunks = 1024
 
@@ -184,6 +189,9 @@
 	}()
 	for ch := range chunks {
 		time.Sleep(time.Until(ch.due))
+		for l.now().Frozen && !c.isSilent() {
+			time.Sleep(frozenStep)
+		}
 		if c.isSilent() {
 			continue
 		}
