Vouch only from the start of a generation, also for keys known since

Cause: random steps of the finder "caller" ran a key twice. An entry that had restarted and then got a resend gave the key up to another entry, or ran it itself, although its earlier generation may have run it: only unseen keys were checked against its start. By reading: a request that joined an attempt which had ended as unknown was told notRun; a handed-over run was dropped where the heir had tried the key itself; faulty settings ended with exit code 1. Ruled out: naming generations to callers, who know addresses only. Change: without a generation an entry answers for keys from before its start only if it runs or ran them; a try that ended as unknown leaves no notRun behind; a record that may have run replaces one that hasn't; the state machine carries both finders; exit code 2 for faulty settings. The test of the handover fails on the former code.

--- a/cmd/magnolialedge/main.go
+++ b/cmd/magnolialedge/main.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 
 	"magnolialedge/io/entry"
 )
@@ -56,7 +57,8 @@
 }
 
 func exitCode(err error) int {
-	if _, ok := err.(*entry.SettingsError); ok {
+	var settings *entry.SettingsError
+	if errors.As(err, &settings) {
 		return exitSettings
 	}
 	return exitFailure
--- /dev/null
+++ b/cmd/magnolialedge/main_test.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"magnolialedge/io/entry"
+)
+
+func TestExitCodeTellsFaultySettings(t *testing.T) {
+	require.Equal(t, exitSettings, exitCode(errors.Wrap(&entry.SettingsError{Faults: []string{"x"}}, "entry")))
+	require.Equal(t, exitFailure, exitCode(errors.New("listen")))
+}
--- a/core/proc/fence_test.go
+++ b/core/proc/fence_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,13 +31,15 @@
 	granted   bool
 	confirmed bool
 	over      bool
-	told      magnolialedge.Outcome
-	ran       bool
+	// earlier names the entries that are still to be asked.
+	earlier []string
+	told    magnolialedge.Outcome
+	ran     bool
 }
 
-// fenceMachine drives the real key tables and claim records through any order
-// of steps, with lost messages, late repeats, restarts and a lossy store. It
-// carries the steps of the finder "store".
+// fenceMachine drives the real key tables and claims through any order of steps,
+// with lost messages, late repeats, restarts and a lossy store. It carries the
+// steps of the finder "store", or those of "caller".
 type fenceMachine struct {
 	now     time.Time
 	key     call.Key
@@ -46,6 +49,11 @@
 	asked   []FenceAsk
 	askedAt []string
 	runs    int
+	// byCaller carries the steps of the finder "caller" instead, for a caller
+	// that tells the truth.
+	byCaller bool
+	// sentTo names the entries that the caller has tried.
+	sentTo []string
 }
 
 func newFenceMachine() *fenceMachine {
@@ -99,6 +107,8 @@
 		m.end(try, magnolialedge.OutcomeNotRun)
 	case try.granted:
 		m.confirm(try)
+	case m.byCaller:
+		m.askEarlier(t, try)
 	case try.found != Owner{}:
 		m.ask(t, try)
 	default:
@@ -110,10 +120,45 @@
 func (m *fenceMachine) send(t *rapid.T) {
 	e := rapid.SampledFrom(m.entries).Draw(t, "entry")
 	d, err := e.keys.Begin(m.now, m.key, fenceFingerprint)
+	earlier := slices.Clone(m.sentTo)
+	m.sentTo = append(m.sentTo, e.name)
 	if err != nil || (d.Step != KeyFind && d.Step != KeyFollow) {
 		return
 	}
-	m.tries = append(m.tries, &fenceTry{entry: e, keys: e.keys, decision: d})
+	if d.Step == KeyFollow {
+		earlier = append([]string{d.Record.MovedTo.Peer}, earlier...)
+	}
+	m.tries = append(m.tries, &fenceTry{entry: e, keys: e.keys, decision: d, earlier: earlier})
+}
+
+// askEarlier asks the next entry that the caller has tried, or grants the key
+// when all have given it up.
+func (m *fenceMachine) askEarlier(t *rapid.T, try *fenceTry) {
+	if len(try.earlier) == 0 {
+		try.granted = true
+		return
+	}
+	name := try.earlier[0]
+	try.earlier = try.earlier[1:]
+	if name == try.entry.name {
+		if !try.keys.Vouches(m.key) {
+			m.end(try, magnolialedge.OutcomeUnknown)
+		}
+		return
+	}
+	ask := FenceAsk{Key: m.key, Fingerprint: fenceFingerprint, By: try.decision.Owner}
+	m.asked = append(m.asked, ask)
+	m.askedAt = append(m.askedAt, name)
+	reply := m.entry(name).keys.Ask(m.now, ask)
+	switch {
+	case rapid.IntRange(0, 5).Draw(t, "answer lost") == 0:
+		m.end(try, magnolialedge.OutcomeUnknown)
+	case reply.Status == FenceGranted:
+	case reply.Status == FenceMoved && reply.MovedTo.Peer != try.entry.name:
+		try.earlier = append([]string{reply.MovedTo.Peer}, try.earlier...)
+	default:
+		m.end(try, magnolialedge.OutcomeUnknown)
+	}
 }
 
 // write writes to the store; the reply may be lost, and is then read back.
@@ -139,7 +184,8 @@
 	found := try.found
 	try.found = Owner{}
 	if found.Peer == try.entry.name {
-		known := try.decision.Step == KeyFollow || try.decision.Record.Outcome == magnolialedge.OutcomeNotRun
+		before := try.decision.Record
+		known := try.decision.Step == KeyFollow || (before.State == KeyEnded && before.endedUnrun())
 		m.answered(try, found, known && try.keys.AnswersFor(found.Generation))
 		return
 	}
@@ -205,7 +251,7 @@
 func (m *fenceMachine) end(try *fenceTry, told magnolialedge.Outcome) {
 	try.over = true
 	try.told = told
-	try.keys.Return(m.key.ID, try.decision.Owner, try.decision.Record)
+	try.keys.Return(m.key.ID, try.decision.Owner, try.decision.Record, told)
 }
 
 // restart loses an entry's table and what it had under way.
@@ -233,11 +279,13 @@
 }
 
 func TestKeyRunsAtMostOnce(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		for range fenceRounds {
-			fenceRound(t)
-		}
-	})
+	for _, byCaller := range []bool{false, true} {
+		rapid.Check(t, func(t *rapid.T) {
+			for range fenceRounds {
+				fenceRound(t, byCaller)
+			}
+		})
+	}
 }
 
 const (
@@ -247,8 +295,9 @@
 	fenceSteps = 30
 )
 
-func fenceRound(t *rapid.T) {
+func fenceRound(t *rapid.T, byCaller bool) {
 	m := newFenceMachine()
+	m.byCaller = byCaller
 	for range fenceSteps {
 		switch rapid.IntRange(0, 19).Draw(t, "event") {
 		case 0:
@@ -339,3 +388,23 @@
 	a.Export(now)
 	require.False(t, a.Confirm(key.ID, d.Owner))
 }
+
+// TestHandoverTellsAnHeirThatTriedTheKeyItself holds that the stopped entry's run
+// counts more than the heir's own try.
+func TestHandoverTellsAnHeirThatTriedTheKeyItself(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	now := start.Add(time.Minute)
+	key := keyAt(now)
+	a := NewKeys(KeysConfig{Peer: "a", Start: start})
+	d, err := a.Begin(now, key, 1)
+	require.NoError(t, err)
+	require.True(t, a.Confirm(key.ID, d.Owner))
+	a.End(key.ID, d.Owner, magnolialedge.OutcomeRan, nil)
+	b := NewKeys(KeysConfig{Peer: "b", Start: start})
+	d, err = b.Begin(now, key, 1)
+	require.NoError(t, err)
+	b.Return(key.ID, d.Owner, d.Record, magnolialedge.OutcomeUnknown)
+	require.True(t, b.Adopt(now, a.Export(now)))
+	reply := b.Ask(now, FenceAsk{Key: key, Fingerprint: 1, Generation: a.Generation(), By: Owner{Peer: "c"}})
+	require.Equal(t, FenceEnded, reply.Status)
+}
--- a/core/proc/handover.go
+++ b/core/proc/handover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"magnolialedge"
 	"magnolialedge/core/call"
 )
 
@@ -52,24 +53,24 @@
 }
 
 // adoptRecord merges one record. A record that this entry has already stands,
-// unless only the other one says that the key was run.
+// unless only the other one says that the key may have been run.
 func (k *Keys) adoptRecord(r KeyRecord) {
 	have, ok := k.records[r.ID]
+	if ok && (have.mayHaveRun() || !r.mayHaveRun()) {
+		return
+	}
 	if !ok {
 		have = k.add(call.Key{ID: r.ID, Issued: r.Issued}, r.Fingerprint)
-	} else if have.State == KeyRunning || have.State == KeyEnded || r.State == KeyMoved {
-		return
 	}
 	have.State = r.State
 	have.Outcome = r.Outcome
 	have.MovedTo = r.MovedTo
 	k.keep(have, r.Answer)
-	if r.State == KeyAsking {
+	switch r.State {
+	case KeyAsking:
 		have.State = KeyEnded
-		have.Outcome = "notRun"
-	}
-	if r.State == KeyRunning {
+	case KeyRunning:
 		have.State = KeyEnded
-		have.Outcome = "unknown"
+		have.Outcome = magnolialedge.OutcomeUnknown
 	}
 }
--- a/core/proc/keys.go
+++ b/core/proc/keys.go
@@ -47,7 +47,8 @@
 	KeyAsking KeyState = iota
 	// KeyRunning means that the request may have reached an upstream.
 	KeyRunning
-	// KeyEnded means that the outcome is known.
+	// KeyEnded means that the try here has ended. An empty outcome tells that
+	// the key wasn't run here, and may have been elsewhere.
 	KeyEnded
 	// KeyMoved means that another entry was granted the key. This entry
 	// doesn't run it unless the other grants it back.
@@ -228,7 +229,7 @@
 	switch {
 	case r.State == KeyAsking || r.State == KeyRunning:
 		return KeyDecision{Step: KeyJoin, Record: *r}
-	case r.State == KeyEnded && r.Outcome != magnolialedge.OutcomeNotRun:
+	case r.State == KeyEnded && !r.endedUnrun():
 		return KeyDecision{Step: KeyReplay, Record: *r}
 	}
 	step := KeyFind
@@ -295,12 +296,26 @@
 	if !ok {
 		return k.askUnseen(a)
 	}
+	if a.Generation == 0 && !k.Vouches(a.Key) && !r.mayHaveRun() {
+		return FenceReply{Status: FenceUnknown}
+	}
 	if r.Fingerprint != 0 && r.Fingerprint != a.Fingerprint {
 		return FenceReply{Status: FenceUnknown, Reused: true}
 	}
 	return k.askSeen(r, a)
 }
 
+// mayHaveRun reports whether the request was dispatched here.
+func (r *KeyRecord) mayHaveRun() bool {
+	return r.State == KeyRunning || (r.State == KeyEnded && !r.endedUnrun())
+}
+
+// endedUnrun reports whether the key's last try here ended before dispatch, or
+// without a run. An outcome that is empty says nothing of other entries.
+func (r *KeyRecord) endedUnrun() bool {
+	return r.Outcome == magnolialedge.OutcomeNotRun || r.Outcome == ""
+}
+
 func (k *Keys) askUnseen(a FenceAsk) FenceReply {
 	if !k.Vouches(a.Key) || (a.Heir && a.Generation == 0) {
 		return FenceReply{Status: FenceUnknown}
@@ -316,7 +331,7 @@
 	switch {
 	case r.State == KeyRunning:
 		return FenceReply{Status: FenceRunning}
-	case r.State == KeyEnded && r.Outcome != magnolialedge.OutcomeNotRun:
+	case r.State == KeyEnded && !r.endedUnrun():
 		return FenceReply{Status: FenceEnded, Outcome: r.Outcome, Answer: r.Answer}
 	case r.State == KeyMoved && r.MovedTo != a.By:
 		return FenceReply{Status: FenceMoved, MovedTo: r.MovedTo}
@@ -342,9 +357,10 @@
 	k.keep(r, reply.Answer)
 }
 
-// Return ends an asking that led to no run and no outcome. A key that had moved
-// before is still with the entry it had moved to.
-func (k *Keys) Return(id uuid.UUID, owner Owner, before KeyRecord) {
+// Return ends an asking that led to no run here. told is what the caller was
+// told: notRun, or unknown when an earlier entry may have run the key. A key that
+// had moved before is still with the entry it had moved to.
+func (k *Keys) Return(id uuid.UUID, owner Owner, before KeyRecord, told magnolialedge.Outcome) {
 	r, ok := k.records[id]
 	if !ok || r.mine != owner || r.State != KeyAsking {
 		return
@@ -355,7 +371,10 @@
 		return
 	}
 	r.State = KeyEnded
-	r.Outcome = magnolialedge.OutcomeNotRun
+	r.Outcome = ""
+	if told == magnolialedge.OutcomeNotRun {
+		r.Outcome = told
+	}
 }
 
 func (k *Keys) add(key call.Key, fingerprint uint64) *KeyRecord {
--- a/io/call/finder.go
+++ b/io/call/finder.go
@@ -52,12 +52,14 @@
 }
 
 // askOne asks an earlier entry. This entry asks itself, or a stopped one that it
-// answers for, by a look in its own table.
+// answers for, by a look in its own table, which says nothing of what an earlier
+// generation ran.
 func (f *callerFinder) askOne(ctx context.Context, s search, o core.Owner) core.FenceReply {
 	if f.asker.cfg.HeirOf(o.Peer) != f.self {
 		return f.asker.ask(ctx, s.question, o)
 	}
-	if knownNotRun(s.decision) || (o.Peer == f.self && f.keys.Vouches(s.key)) {
+	unrun := o.Peer == f.self || knownNotRun(s.decision)
+	if unrun && f.keys.Vouches(s.key) {
 		return core.FenceReply{Status: core.FenceGranted}
 	}
 	return core.FenceReply{Status: core.FenceUnknown}
@@ -66,7 +68,8 @@
 // knownNotRun reports whether this entry remembers that the key was not run by
 // an earlier try of its own.
 func knownNotRun(d core.KeyDecision) bool {
-	return d.Step == core.KeyFollow || d.Record.Outcome == magnolialedge.OutcomeNotRun
+	ended := d.Record.State == core.KeyEnded
+	return d.Step == core.KeyFollow || (ended && (d.Record.Outcome == magnolialedge.OutcomeNotRun || d.Record.Outcome == ""))
 }
 
 // mostTried bounds the entries that a caller may name.
--- a/io/call/keyed.go
+++ b/io/call/keyed.go
@@ -45,6 +45,8 @@
 		s.refuse(w, x.service, x.id, newRefusal(magnolialedge.KindDeadlineExceeded, magnolialedge.OutcomeUnknown, "an earlier attempt with this key is still running"))
 	case record.State == core.KeyMoved:
 		s.refuse(w, x.service, x.id, newRefusal(magnolialedge.KindSuperseded, magnolialedge.OutcomeUnknown, "another entry has the key"))
+	case record.Outcome == "":
+		s.refuse(w, x.service, x.id, newRefusal(magnolialedge.KindEarlierUnknown, magnolialedge.OutcomeUnknown, "an earlier attempt with this key may have been run"))
 	case record.Outcome == magnolialedge.OutcomeNotRun:
 		s.refuse(w, x.service, x.id, newRefusal(magnolialedge.KindOverloaded, magnolialedge.OutcomeNotRun, "the earlier attempt with this key was not run"))
 	default:
@@ -54,7 +56,8 @@
 
 func (s *Server) findAndRun(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange, key call.Key, decision core.KeyDecision) {
 	owner := decision.Owner
-	defer s.cfg.Keys.Return(key.ID, owner, decision.Record)
+	told := magnolialedge.OutcomeUnknown
+	defer func() { s.cfg.Keys.Return(key.ID, owner, decision.Record, told) }()
 	found, err := s.finderOf(x).find(ctx, search{
 		question: question{key: key, fingerprint: x.fingerprint, by: owner},
 		service:  x.service,
@@ -62,7 +65,9 @@
 		header:   r.Header,
 	})
 	if err != nil {
-		s.refuse(w, x.service, x.id, refusalOf(err))
+		f := refusalOf(err)
+		told = f.outcome
+		s.refuse(w, x.service, x.id, f)
 		return
 	}
 	if !found.run {
--- a/io/entry/config_test.go
+++ b/io/entry/config_test.go
@@ -204,7 +204,7 @@
 	require.Contains(t, text, "Sign in")
 	status, _ := page(client.PostForm(base+"/login", url.Values{"author": {"a"}, "token": {"wrong"}}))
 	require.Equal(t, http.StatusForbidden, status)
-	status, text = page(client.PostForm(base+"/login", url.Values{"author": {"Asha"}, "token": {stand.Token}}))
+	status, text = page(client.PostForm(base+"/login", url.Values{"author": {"operator"}, "token": {stand.Token}}))
 	require.Equal(t, http.StatusOK, status)
 	require.Contains(t, text, "Revision 1")
 	_, text = page(client.Get(base + "/draft"))
--- a/io/proc/keys.go
+++ b/io/proc/keys.go
@@ -55,10 +55,10 @@
 }
 
 // Return ends an asking that led to no run.
-func (k *Keys) Return(id uuid.UUID, owner proc.Owner, before proc.KeyRecord) {
+func (k *Keys) Return(id uuid.UUID, owner proc.Owner, before proc.KeyRecord, told magnolialedge.Outcome) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.core.Return(id, owner, before)
+	k.core.Return(id, owner, before, told)
 	k.wake(id)
 }
 
