--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -45,7 +45,6 @@
 // Pool keeps the connections to upstreams.
 type Pool struct {
 	dialer *Dialer
-	// OnTrip is told the time that each new connection took.
 	onTrip func(address string, trip time.Duration)
 	mu     sync.Mutex
 	byAddr map[string]*target
@@ -136,13 +135,6 @@
 	}
 }
 
-// Len returns the number of targets that have been connected to.
-func (p *Pool) Len() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.byAddr)
-}
-
 func (p *Pool) target(d Destination) *target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
