Fix the random steps of every package's tests in one place

Cause: the tests of plans took other random steps in each run, and two packages fixed theirs by the same lines.

--- a/core/call/plan_test.go
+++ b/core/call/plan_test.go
@@ -9,8 +9,14 @@
 	"pgregory.net/rapid"
 
 	"magnolialedge"
+	"magnolialedge/io/seed"
 )
 
+// TestMain fixes the seed, so that each run takes the same steps.
+func TestMain(m *testing.M) {
+	seed.Main(m)
+}
+
 var planStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // openBudgets allow every extra attempt and count them.
