--- /dev/null
+++ b/core/pick/doc.go
@@ -0,0 +1,3 @@
+// Package pick decides which registered upstream takes a request, who waits for
+// room and who is refused.
+package pick
--- /dev/null
+++ b/core/pick/upstream.go
@@ -0,0 +1,164 @@
+package pick
+
+import (
+	"math"
+	"time"
+
+	"magnolialedge"
+	"magnolialedge/core/proc"
+)
+
+const (
+	// inZoneTrip, crossZoneTrip and crossRegionTrip are round trips that are
+	// assumed before one has been measured.
+	inZoneTrip      = 500 * time.Microsecond
+	crossZoneTrip   = 3 * time.Millisecond
+	crossRegionTrip = 42 * time.Millisecond
+	// tripGain is the weight of one measured round trip.
+	tripGain = 0.2
+	// slownessLife is the age at which a reading of slowness has lost most of
+	// its weight against the upstream's usual slowness.
+	slownessLife = 120 * time.Millisecond
+	// usualGain is the weight of one reading in the usual slowness.
+	usualGain = 0.02
+	// othersLife is the age at which a reading of other entries' requests has
+	// lost most of its weight.
+	othersLife = 150 * time.Millisecond
+	// coldFactor is how much slower an upstream works just after its start.
+	coldFactor = 2
+	// failGain is the weight of one result in the share of failures.
+	failGain = 0.15
+	// failLife is the time in which a share of failures without new results
+	// halves.
+	failLife = 2 * time.Second
+	// darkTime is how long an upstream that can't be reached gets no request
+	// before it is tried again.
+	darkTime = 400 * time.Millisecond
+	// mostDarkTime bounds the doubling of darkTime.
+	mostDarkTime = 2 * time.Second
+)
+
+// upstream is what one entry knows of a registered upstream.
+type upstream struct {
+	magnolialedge.Registration
+	trip     time.Duration
+	distance distance
+	coldTill time.Time
+	inFlight int
+
+	readAt   time.Time
+	slowness float64
+	usual    float64
+	others   float64
+
+	health   proc.Health
+	failed   float64
+	failedAt time.Time
+	darkTill time.Time
+	dark     time.Duration
+	used     bool
+}
+
+type distance int
+
+const (
+	sameZone distance = iota
+	sameRegion
+	otherRegion
+)
+
+func newUpstream(now time.Time, r magnolialedge.Registration, d distance) *upstream {
+	u := &upstream{usual: 1, slowness: 1, distance: d}
+	u.trip = [...]time.Duration{inZoneTrip, crossZoneTrip, crossRegionTrip}[d]
+	u.register(now, r)
+	return u
+}
+
+// register takes what the upstream says of itself. A later start under the same
+// id knows nothing of the earlier one.
+func (u *upstream) register(now time.Time, r magnolialedge.Registration) {
+	if u.Born != r.Born && u.ID != "" {
+		u.health = proc.Health{}
+		u.failed = 0
+		u.dark = 0
+		u.darkTill = time.Time{}
+		u.readAt = time.Time{}
+	}
+	u.Registration = r
+	u.coldTill = now.Add(r.ColdFor)
+}
+
+// slownessAt estimates the slowness now from the last reading and what is usual.
+func (u *upstream) slownessAt(now time.Time) float64 {
+	s := u.usual
+	if !u.readAt.IsZero() {
+		keep := decay(now.Sub(u.readAt), slownessLife)
+		s = u.slowness*keep + u.usual*(1-keep)
+	}
+	if now.Before(u.coldTill) {
+		s *= coldFactor
+	}
+	return s
+}
+
+// load estimates the requests that the upstream has, of all entries.
+func (u *upstream) load(now time.Time) float64 {
+	if u.readAt.IsZero() {
+		return float64(u.inFlight)
+	}
+	return float64(u.inFlight) + u.others*decay(now.Sub(u.readAt), othersLife)
+}
+
+// hasRoom reports whether a request would begin at once.
+func (u *upstream) hasRoom(now time.Time) bool {
+	return u.load(now)+1 <= float64(max(1, u.Slots))+0.25
+}
+
+func (u *upstream) read(now time.Time, r magnolialedge.Reading) {
+	u.readAt = now
+	u.others = max(0, float64(r.Running+r.Waiting-u.inFlight))
+	if r.Slots > 0 {
+		u.Slots = r.Slots
+	}
+	if r.Slowness > 0 {
+		u.slowness = r.Slowness
+		u.usual += usualGain * (r.Slowness - u.usual)
+	}
+	u.reached()
+}
+
+func (u *upstream) reached() {
+	u.dark = 0
+	u.darkTill = time.Time{}
+}
+
+func (u *upstream) unreachable(now time.Time) {
+	u.dark = min(max(darkTime, 2*u.dark), mostDarkTime)
+	u.darkTill = now.Add(u.dark)
+}
+
+func (u *upstream) failShare(now time.Time) float64 {
+	return u.failed * math.Exp2(-float64(now.Sub(u.failedAt))/float64(failLife))
+}
+
+func (u *upstream) result(now time.Time, failed bool) {
+	share := u.failShare(now)
+	u.failedAt = now
+	if failed {
+		u.failed = share + failGain*(1-share)
+		return
+	}
+	u.failed = share - failGain*share
+}
+
+// isUsable reports whether the upstream may get a request at all.
+func (u *upstream) isUsable(now time.Time) bool {
+	return !u.Draining && !now.Before(u.darkTill) && u.health.At(now) != proc.Ejected
+}
+
+func decay(age, life time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp(-float64(age) / float64(life))
+}
--- a/core/proc/balancer.go
+++ b/core/proc/balancer.go
@@ -131,10 +131,10 @@
 	if u.draining(now) || slices.Contains(req.Avoid, u.target.Address) {
 		return false
 	}
-	switch u.health.at(now) {
-	case ejected:
+	switch u.health.At(now) {
+	case Ejected:
 		return false
-	case probation:
+	case Probation:
 		return req.Probe && u.inFlight == 0
 	}
 	if req.IdleOnly && u.inFlight >= u.target.Slots {
@@ -170,11 +170,11 @@
 		u.sample(now, u.trip+time.Duration(2*b.mean), b.mean)
 	case a.Failed:
 		u.sample(now, max(a.Took, time.Duration(failurePenalty*b.mean)), b.mean)
-		u.health.fail(now, b.mayEject(now))
+		u.health.Fail(now, b.mayEject(now))
 	default:
 		u.sample(now, a.Took, b.mean)
 		b.mean += (u.latency - b.mean) * latencyGain / float64(len(b.ups))
-		if u.health.ok() {
+		if u.health.OK() {
 			u.addedAt = now
 		}
 	}
@@ -196,7 +196,7 @@
 			continue
 		}
 		all++
-		if b.ups[i].health.at(now) != healthy {
+		if b.ups[i].health.At(now) != Healthy {
 			out++
 		}
 	}
@@ -239,7 +239,7 @@
 	n := 0
 	for i := range b.ups {
 		u := &b.ups[i]
-		fit := !u.draining(now) && u.health.at(now) == healthy
+		fit := !u.draining(now) && u.health.At(now) == Healthy
 		if fit && !slices.Contains(req.Avoid, u.target.Address) {
 			n += u.target.Slots
 		}
@@ -283,10 +283,10 @@
 	if u.draining(now) {
 		return "draining"
 	}
-	switch u.health.at(now) {
-	case ejected:
+	switch u.health.At(now) {
+	case Ejected:
 		return "ejected"
-	case probation:
+	case Probation:
 		return "probation"
 	}
 	return "active"
--- a/core/proc/balancer_test.go
+++ b/core/proc/balancer_test.go
@@ -101,7 +101,7 @@
 	}
 	out := 0
 	for i := range b.ups {
-		if b.ups[i].health.at(pickStart) == ejected {
+		if b.ups[i].health.At(pickStart) == Ejected {
 			out++
 		}
 	}
--- a/core/proc/bucket.go
+++ b/core/proc/bucket.go
@@ -52,17 +52,18 @@
 type ShareBudget struct {
 	share  float64
 	tokens float64
+	limit  float64
 }
 
 // NewShareBudget returns a ShareBudget that allows percent extra attempts per
 // hundred ordinary ones.
 func NewShareBudget(percent float64) *ShareBudget {
-	return &ShareBudget{share: percent / 100, tokens: shareReserve * min(1, percent)}
+	return &ShareBudget{share: percent / 100, tokens: shareReserve * min(1, percent), limit: shareLimit}
 }
 
 // Earn counts one ordinary attempt.
 func (b *ShareBudget) Earn() {
-	b.tokens = min(shareLimit, b.tokens+b.share)
+	b.tokens = min(b.limit, b.tokens+b.share)
 }
 
 // Spend takes one extra attempt if the budget allows it.
@@ -73,3 +74,9 @@
 	b.tokens--
 	return true
 }
+
+// NewShareBudgetOf returns a ShareBudget that allows share extra attempts per
+// ordinary one, holds reserve at its start and saves up limit at most.
+func NewShareBudgetOf(share, reserve, limit float64) *ShareBudget {
+	return &ShareBudget{share: share, tokens: reserve, limit: limit}
+}
--- a/core/proc/health.go
+++ b/core/proc/health.go
@@ -17,17 +17,21 @@
 	successesToReturn = 3
 )
 
-type healthState int
+// HealthState is what an upstream's results allow.
+type HealthState int
 
 const (
-	healthy healthState = iota
-	ejected
-	probation
+	// Healthy upstreams take work.
+	Healthy HealthState = iota
+	// Ejected upstreams take no work.
+	Ejected
+	// Probation upstreams take a few requests.
+	Probation
 )
 
-// health decides whether one upstream is fit for work.
-type health struct {
-	state     healthState
+// Health decides whether one upstream is fit for work.
+type Health struct {
+	state     HealthState
 	failures  int
 	successes int
 	share     float64
@@ -35,47 +39,47 @@
 	rounds    int
 }
 
-// at moves an ejection that has ended to probation and returns the state.
-func (h *health) at(now time.Time) healthState {
-	if h.state == ejected && !now.Before(h.until) {
-		h.state = probation
+// At moves an ejection that has ended to probation and returns the state.
+func (h *Health) At(now time.Time) HealthState {
+	if h.state == Ejected && !now.Before(h.until) {
+		h.state = Probation
 		h.successes = 0
 	}
 	return h.state
 }
 
-// ok records a useful answer and reports whether it ended probation.
-func (h *health) ok() bool {
+// OK records a useful answer and reports whether it ended probation.
+func (h *Health) OK() bool {
 	h.failures = 0
 	h.share -= h.share * failureGain
-	if h.state != probation {
+	if h.state != Probation {
 		return false
 	}
 	h.successes++
 	if h.successes < successesToReturn {
 		return false
 	}
-	*h = health{}
+	*h = Health{}
 	return true
 }
 
-// fail records a failure; mayEject tells whether the cap on ejections leaves room.
-func (h *health) fail(now time.Time, mayEject bool) {
+// Fail records a failure; mayEject tells whether the cap on ejections leaves room.
+func (h *Health) Fail(now time.Time, mayEject bool) {
 	h.failures++
 	h.share += (1 - h.share) * failureGain
 	switch {
-	case h.state == ejected:
+	case h.state == Ejected:
 		return
-	case h.state == probation:
+	case h.state == Probation:
 		h.eject(now)
 	case mayEject && (h.failures >= failuresToEject || h.share > failureShareToEject):
 		h.eject(now)
 	}
 }
 
-func (h *health) eject(now time.Time) {
+func (h *Health) eject(now time.Time) {
 	length := min(firstEjection<<h.rounds, lastEjection)
-	h.state = ejected
+	h.state = Ejected
 	h.until = now.Add(length)
 	h.failures = 0
 	h.rounds = min(h.rounds+1, 5)
--- a/core/proc/upstream.go
+++ b/core/proc/upstream.go
@@ -38,7 +38,7 @@
 	drainUntil time.Time
 	reportAt   time.Time
 	reportLoad int
-	health     health
+	health     Health
 }
 
 // latencyAt returns the latency estimate in nanoseconds. Without samples it
--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,2 @@
+// Package route decides which service a request belongs to.
+package route
--- /dev/null
+++ b/io/link/conn.go
@@ -0,0 +1,305 @@
+package link
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+)
+
+const (
+	// bufferBytes is the size of a connection's read buffer.
+	bufferBytes = 4 << 10
+	// mostAnswer bounds an answer's body, in bytes.
+	mostAnswer = 16 << 20
+	// mostForeign bounds the answers to other requests that are read past.
+	mostForeign = 3
+	// smallBody is the greatest body that is written together with the head.
+	smallBody = 8 << 10
+)
+
+// Failures of an exchange.
+var (
+	errForeign   = errors.New("the upstream sent answers to other requests only")
+	errTooLarge  = errors.New("the upstream's answer is too large")
+	errNotHealth = errors.New("the upstream's answer belongs to no health request")
+	// ErrOtherInstance tells that another upstream has the address.
+	ErrOtherInstance = errors.New("another upstream answers at the address")
+)
+
+// Conn is one connection to an upstream. It carries one request at a time.
+type Conn struct {
+	// To is the upstream that the connection was opened to.
+	To magnolialedge.Registration
+	// Opening is how long the opening took.
+	Opening time.Duration
+
+	raw      net.Conn
+	r        *bufio.Reader
+	dialect  magnolialedge.Dialect
+	idleLife time.Duration
+	idleTill time.Time
+	// spoiled tells that the connection can't be used again.
+	spoiled bool
+	// provenAt is when the upstream last answered on it.
+	provenAt time.Time
+	used     bool
+}
+
+func newConn(raw net.Conn, to magnolialedge.Registration, d magnolialedge.Dialect, opening time.Duration) *Conn {
+	return &Conn{
+		To:       to,
+		Opening:  opening,
+		raw:      raw,
+		r:        bufio.NewReaderSize(raw, bufferBytes),
+		dialect:  d,
+		idleLife: defaultIdleLife,
+		provenAt: time.Now(),
+	}
+}
+
+// Close closes the connection.
+func (c *Conn) Close() {
+	c.spoiled = true
+	_ = c.raw.Close()
+}
+
+// ProvenAt returns when the upstream last answered on the connection.
+func (c *Conn) ProvenAt() time.Time {
+	return c.provenAt
+}
+
+// IsNew reports whether no request has been sent on the connection yet.
+func (c *Conn) IsNew() bool {
+	return !c.used
+}
+
+func (c *Conn) isClean() bool {
+	return !c.spoiled && c.r.Buffered() == 0
+}
+
+// watch closes the connection when ctx ends. The returned function ends the
+// watching and reports whether ctx had ended before.
+func (c *Conn) watch(ctx context.Context) func() bool {
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
+	return func() bool {
+		if stop() {
+			return false
+		}
+		c.spoiled = true
+		return true
+	}
+}
+
+// Health asks the upstream for its load. An answer counts as a sign of life
+// whatever it says of the upstream's health.
+func (c *Conn) Health(ctx context.Context, host, path string) (magnolialedge.Reading, bool, error) {
+	defer c.watch(ctx)()
+	c.used = true
+	head := "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + c.dialect.ExpectedInstance + ": " + c.To.ID + "\r\n\r\n"
+	if _, err := io.WriteString(c.raw, head); err != nil {
+		c.spoiled = true
+		return magnolialedge.Reading{}, false, err
+	}
+	resp, err := c.readHead(http.MethodGet)
+	if err != nil {
+		return magnolialedge.Reading{}, false, err
+	}
+	if _, err := c.readBody(resp); err != nil {
+		return magnolialedge.Reading{}, false, err
+	}
+	if resp.Header.Get(c.dialect.RequestID) != "" {
+		c.spoiled = true
+		return magnolialedge.Reading{}, false, errNotHealth
+	}
+	if id := resp.Header.Get(c.dialect.Instance); id != "" && id != c.To.ID {
+		c.spoiled = true
+		return magnolialedge.Reading{}, false, ErrOtherInstance
+	}
+	reading, ok := c.dialect.ParseLoad(resp.Header.Get(c.dialect.Load))
+	return reading, ok, nil
+}
+
+// Request is a request as it goes to an upstream.
+type Request struct {
+	ID     string
+	Method string
+	// Target is the request's target as its caller wrote it.
+	Target string
+	Host   string
+	Header http.Header
+	// Body is the whole body. HasBody tells an empty body from none.
+	Body    []byte
+	HasBody bool
+	// Left is the time left to the request's deadline.
+	Left time.Duration
+}
+
+// Answer is an upstream's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Length is the length that a bodyless answer states, or -1.
+	Length int64
+	// Reading is what the answer tells of the upstream's load.
+	Reading   magnolialedge.Reading
+	HasLoad   bool
+	Signature bool
+	// NotRun tells that the upstream states that it did not run the request.
+	NotRun bool
+}
+
+// Sent tells how much of a request has left this side when an exchange fails.
+type Sent struct {
+	// Written tells that some byte of the request may have left.
+	Written bool
+}
+
+// Exchange sends a request and reads its whole answer. Answers to other
+// requests are read past.
+func (c *Conn) Exchange(ctx context.Context, req *Request) (*Answer, Sent, error) {
+	defer c.watch(ctx)()
+	c.used = true
+	head := c.head(req)
+	if len(req.Body) <= smallBody {
+		n, err := c.raw.Write(append(head, req.Body...))
+		if err != nil {
+			c.spoiled = true
+			return nil, Sent{Written: n > 0}, err
+		}
+		answer, err := c.answer(req)
+		return answer, Sent{Written: true}, err
+	}
+	return c.exchangeLarge(head, req)
+}
+
+// exchangeLarge reads the answer while the body is still being written, because
+// an upstream may answer early. Such a connection isn't used again.
+func (c *Conn) exchangeLarge(head []byte, req *Request) (*Answer, Sent, error) {
+	written := make(chan error, 1)
+	go func() {
+		buffers := net.Buffers{head, req.Body}
+		_, err := buffers.WriteTo(c.raw)
+		written <- err
+	}()
+	answer, err := c.answer(req)
+	select {
+	case werr := <-written:
+		c.spoiled = c.spoiled || werr != nil
+	default:
+		c.spoiled = true
+		_ = c.raw.SetWriteDeadline(time.Unix(1, 0))
+		<-written
+	}
+	return answer, Sent{Written: true}, err
+}
+
+func (c *Conn) head(req *Request) []byte {
+	var b bytes.Buffer
+	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
+	for name, values := range req.Header {
+		for _, v := range values {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	b.WriteString(c.dialect.RequestID + ": " + req.ID + "\r\n")
+	b.WriteString(c.dialect.ExpectedInstance + ": " + c.To.ID + "\r\n")
+	b.WriteString(c.dialect.Deadline + ": " + strconv.FormatInt(max(1, req.Left.Milliseconds()), 10) + "\r\n")
+	if req.HasBody {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// answer reads answers until one carries the request's id.
+func (c *Conn) answer(req *Request) (*Answer, error) {
+	for range mostForeign {
+		resp, err := c.readHead(req.Method)
+		if err != nil {
+			return nil, err
+		}
+		body, err := c.readBody(resp)
+		if err != nil {
+			return nil, err
+		}
+		if resp.Header.Get(c.dialect.RequestID) == req.ID {
+			return c.toAnswer(resp, body), nil
+		}
+		c.spoiled = true
+		if resp.Header.Get(c.dialect.RequestID) == "" {
+			return nil, errForeign
+		}
+	}
+	return nil, errForeign
+}
+
+func (c *Conn) toAnswer(resp *http.Response, body []byte) *Answer {
+	a := &Answer{
+		Status:    resp.StatusCode,
+		Header:    resp.Header,
+		Body:      body,
+		Length:    resp.ContentLength,
+		Signature: resp.Header.Get(c.dialect.Signature) != "",
+		NotRun:    resp.Header.Get(c.dialect.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
+	}
+	a.Reading, a.HasLoad = c.dialect.ParseLoad(resp.Header.Get(c.dialect.Load))
+	return a
+}
+
+// readHead reads the head of a final answer.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil {
+			c.spoiled = true
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			c.spoiled = true
+			return nil, errNotHealth
+		}
+	}
+}
+
+func (c *Conn) readBody(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer+1))
+	if err != nil {
+		c.spoiled = true
+		return nil, err
+	}
+	if len(body) > mostAnswer {
+		c.spoiled = true
+		return nil, errTooLarge
+	}
+	c.provenAt = time.Now()
+	c.spoiled = c.spoiled || resp.Close
+	c.learnIdleLife(resp.Header.Get("Keep-Alive"))
+	return body, nil
+}
+
+// learnIdleLife reads "timeout=5, max=100".
+func (c *Conn) learnIdleLife(value string) {
+	for part := range strings.SplitSeq(value, ",") {
+		name, seconds, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(seconds); err == nil && n >= 0 {
+			c.idleLife = max(0, time.Duration(n)*time.Second-idleMargin)
+		}
+	}
+}
--- /dev/null
+++ b/io/link/pool.go
@@ -0,0 +1,134 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"magnolialedge"
+)
+
+const (
+	// defaultIdleLife is how long an unused connection is kept when the
+	// upstream states no time.
+	defaultIdleLife = 8 * time.Second
+	// idleMargin is kept to the time that an upstream states.
+	idleMargin = 700 * time.Millisecond
+	// mostIdle bounds the unused connections to one upstream.
+	mostIdle = 32
+	// sweepEvery is the time between two sweeps for unused connections.
+	sweepEvery = time.Second
+)
+
+// Dialer opens connections.
+type Dialer interface {
+	Dial(ctx context.Context, region, address string) (net.Conn, error)
+}
+
+// PoolConfig constructs a Pool.
+type PoolConfig struct {
+	Dialer  Dialer
+	Dialect magnolialedge.Dialect
+}
+
+// Pool keeps unused connections to upstreams, by the upstream's id.
+type Pool struct {
+	cfg  PoolConfig
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// NewPool returns an empty Pool.
+func NewPool(cfg PoolConfig) *Pool {
+	return &Pool{cfg: cfg, idle: map[string][]*Conn{}}
+}
+
+// Run closes connections that have been unused for too long, until ctx is done.
+func (p *Pool) Run(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			p.sweep(now)
+		}
+	}
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if now.After(c.idleTill) {
+				c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, id)
+			continue
+		}
+		p.idle[id] = kept
+	}
+}
+
+// Take returns an unused connection to an upstream, or false.
+func (p *Pool) Take(id string) (*Conn, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	conns := p.idle[id]
+	for len(conns) > 0 {
+		c := conns[len(conns)-1]
+		conns = conns[:len(conns)-1]
+		p.idle[id] = conns
+		if now.Before(c.idleTill) {
+			return c, true
+		}
+		c.Close()
+	}
+	return nil, false
+}
+
+// Open opens a new connection to an upstream.
+func (p *Pool) Open(ctx context.Context, to magnolialedge.Registration) (*Conn, error) {
+	begun := time.Now()
+	raw, err := p.cfg.Dialer.Dial(ctx, "", to.Address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, to, p.cfg.Dialect, time.Since(begun)), nil
+}
+
+// Put gives a connection back. One that isn't clean is closed.
+func (p *Pool) Put(c *Conn) {
+	if !c.isClean() {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[c.To.ID]
+	if len(conns) >= mostIdle {
+		c.Close()
+		return
+	}
+	c.idleTill = time.Now().Add(c.idleLife)
+	p.idle[c.To.ID] = append(conns, c)
+}
+
+// Drop closes the unused connections to an upstream.
+func (p *Pool) Drop(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[id] {
+		c.Close()
+	}
+	delete(p.idle, id)
+}
--- /dev/null
+++ b/io/mirror/follower.go
@@ -0,0 +1,225 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/core/mirror"
+	"magnolialedge/io/event"
+)
+
+const (
+	// watchWait is how long one call waits for changes. A store that went
+	// silent shows after it.
+	watchWait = 1200 * time.Millisecond
+	// watchGap is the least time between two calls, so that many small changes
+	// cost few calls.
+	watchGap = 150 * time.Millisecond
+	// retryGap is the time between two calls to a store that fails, with
+	// retryJitter added to it at random.
+	retryGap    = 300 * time.Millisecond
+	retryJitter = 300 * time.Millisecond
+	// tickEvery is the time between two looks at held removals.
+	tickEvery = 200 * time.Millisecond
+)
+
+// Config constructs a Follower.
+type Config struct {
+	Store magnolialedge.Keyspace
+	// Prefix is that of the keys to follow.
+	Prefix string
+	// OnChange is told each change that has an effect, in order.
+	OnChange func([]magnolialedge.Item)
+	// Sources returns the peer addresses to take changes from, the best first;
+	// none means that this entry watches the store itself.
+	Sources func() []string
+	Peers   PeerDialer
+	Log     event.Logger
+}
+
+// Follower keeps a mirror of a store.
+type Follower struct {
+	cfg Config
+
+	mu      sync.Mutex
+	mirror  *mirror.Mirror
+	listed  bool
+	reached time.Time
+	lost    bool
+	subs    map[chan message]struct{}
+}
+
+// NewFollower returns a Follower that knows nothing.
+func NewFollower(cfg Config) *Follower {
+	return &Follower{cfg: cfg, mirror: mirror.New(), subs: map[chan message]struct{}{}}
+}
+
+// Run follows the store until ctx is done.
+func (f *Follower) Run(ctx context.Context) {
+	go f.tick(ctx)
+	for ctx.Err() == nil {
+		sources := f.cfg.Sources()
+		if len(sources) == 0 || !f.hasListed() {
+			f.watch(ctx)
+			continue
+		}
+		if !f.followAny(ctx, sources) {
+			f.watchFor(ctx, fallbackTime)
+		}
+	}
+}
+
+// fallbackTime is how long an entry watches the store itself when no peer
+// passes changes on.
+const fallbackTime = 3 * time.Second
+
+func (f *Follower) hasListed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+// Age returns the time since the store was last known to be reached.
+func (f *Follower) Age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.reached)
+}
+
+// Revision returns the revision up to which the store is known.
+func (f *Follower) Revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.Revision()
+}
+
+func (f *Follower) watchFor(ctx context.Context, length time.Duration) {
+	until := time.Now().Add(length)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		f.watch(ctx)
+	}
+}
+
+// watch lists or watches once, and leaves the time between calls.
+func (f *Follower) watch(ctx context.Context) {
+	begun := time.Now()
+	var err error
+	if !f.hasListed() {
+		err = f.list(ctx)
+	} else {
+		err = f.changes(ctx)
+	}
+	switch {
+	case err == nil:
+		sleep(ctx, watchGap-time.Since(begun))
+	case errors.Is(err, magnolialedge.ErrHistoryLost):
+		f.cfg.Log.Log(event.HistoryLost, "revision", f.Revision())
+		f.setListed(false)
+	default:
+		f.failed(err)
+		sleep(ctx, retryGap+rand.N(retryJitter))
+	}
+}
+
+func (f *Follower) setListed(listed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = listed
+}
+
+// list reads all items. The revision of the first page is the one from which
+// changes are asked for, since pages aren't a snapshot.
+func (f *Follower) list(ctx context.Context) error {
+	var items []magnolialedge.Item
+	revision, after := int64(-1), ""
+	for {
+		page, err := f.cfg.Store.Range(ctx, f.cfg.Prefix, after)
+		if err != nil {
+			return err
+		}
+		if revision < 0 {
+			revision = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	f.take(message{Snapshot: true, Items: items, Revision: revision}, time.Now())
+	f.setListed(true)
+	return nil
+}
+
+func (f *Follower) changes(ctx context.Context) error {
+	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, f.Revision(), watchWait)
+	if err != nil {
+		return err
+	}
+	f.take(message{Items: page.Items, Revision: page.Revision}, time.Now())
+	return nil
+}
+
+// take brings news into the mirror and passes on what has an effect.
+func (f *Follower) take(m message, reached time.Time) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mirror.Reached(now)
+	f.reached = reached
+	if f.lost {
+		f.lost = false
+		f.cfg.Log.Log(event.StoreReachable, "revision", m.Revision)
+	}
+	var effective []magnolialedge.Item
+	if m.Snapshot {
+		effective = f.mirror.Snapshot(now, m.Items, m.Revision)
+	} else {
+		effective = f.mirror.Apply(now, m.Items, m.Revision)
+	}
+	f.pass(effective)
+}
+
+// pass tells of effective changes; f.mu is held, so that they stay in order.
+func (f *Follower) pass(changes []magnolialedge.Item) {
+	if len(changes) > 0 {
+		f.cfg.OnChange(changes)
+	}
+	f.publish(message{Items: changes, Revision: f.mirror.Revision()})
+}
+
+func (f *Follower) failed(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mirror.Failed(time.Now())
+	if !f.lost {
+		f.lost = true
+		f.cfg.Log.Log(event.StoreUnreachable, "err", err, "revision", f.mirror.Revision())
+	}
+}
+
+func (f *Follower) tick(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, tickEvery)
+		f.mu.Lock()
+		f.pass(f.mirror.Tick(time.Now()))
+		f.mu.Unlock()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/mirror/stream.go
@@ -0,0 +1,169 @@
+package mirror
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/io/event"
+)
+
+const (
+	// pulseEvery is the time between two messages of a stream without changes.
+	pulseEvery = 400 * time.Millisecond
+	// streamSilence is how long a stream may be silent before it is given up.
+	streamSilence = 1100 * time.Millisecond
+	// mostStreamAge is how long ago a source may have reached the store before
+	// its readers look for another.
+	mostStreamAge = 2200 * time.Millisecond
+	// subscriberRoom is the number of messages that may wait for one reader;
+	// a reader that falls behind further is cut and begins anew.
+	subscriberRoom = 64
+	// mostLine bounds one message of a stream, in bytes.
+	mostLine = 64 << 20
+	// StreamPath is the path at which an entry passes changes on.
+	StreamPath = "/v1/changes"
+)
+
+var errStale = errors.New("the source has not reached the store of late")
+
+// message is one line of a stream.
+type message struct {
+	// Snapshot tells that Items are all items rather than changes.
+	Snapshot bool                 `json:"snapshot,omitempty"`
+	Items    []magnolialedge.Item `json:"items,omitempty"`
+	Revision int64                `json:"revision"`
+	// AgeMs is the time since the source reached the store.
+	AgeMs int64 `json:"ageMs"`
+}
+
+// PeerDialer opens a stream of another entry.
+type PeerDialer interface {
+	Open(ctx context.Context, address, path string) (io.ReadCloser, error)
+}
+
+// followAny takes changes from the first source that passes them on, for as
+// long as it does. False means that none did.
+func (f *Follower) followAny(ctx context.Context, sources []string) bool {
+	for _, address := range sources {
+		begun := time.Now()
+		err := f.follow(ctx, address)
+		f.cfg.Log.Log(event.SourceLost, "source", address, "err", err, "revision", f.Revision())
+		if time.Since(begun) > mostStreamAge {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Follower) follow(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(streamSilence, cancel)
+	defer silence.Stop()
+	body, err := f.cfg.Peers.Open(ctx, address, StreamPath)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), mostLine)
+	for lines.Scan() {
+		silence.Reset(streamSilence)
+		var m message
+		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
+			return errors.Wrap(err, "stream")
+		}
+		age := time.Duration(m.AgeMs) * time.Millisecond
+		if age > mostStreamAge {
+			return errStale
+		}
+		f.take(m, time.Now().Add(-age))
+	}
+	return errors.Wrap(lines.Err(), "stream ended")
+}
+
+// publish hands a message to all readers; f.mu is held.
+func (f *Follower) publish(m message) {
+	if len(m.Items) == 0 {
+		return
+	}
+	for sub := range f.subs {
+		select {
+		case sub <- m:
+		default:
+			delete(f.subs, sub)
+			close(sub)
+		}
+	}
+}
+
+// subscribe returns all items and a channel of the changes that follow.
+func (f *Follower) subscribe() (message, chan message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sub := make(chan message, subscriberRoom)
+	f.subs[sub] = struct{}{}
+	return message{Snapshot: true, Items: f.mirror.Items(), Revision: f.mirror.Revision()}, sub
+}
+
+func (f *Follower) unsubscribe(sub chan message) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.subs[sub]; ok {
+		delete(f.subs, sub)
+		close(sub)
+	}
+}
+
+// ServeHTTP passes changes on to another entry until it goes.
+func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !f.hasListed() {
+		http.Error(w, "this entry does not know the store yet", http.StatusServiceUnavailable)
+		return
+	}
+	first, sub := f.subscribe()
+	defer f.unsubscribe(sub)
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	if !f.send(w, first) {
+		return
+	}
+	pulse := time.NewTicker(pulseEvery)
+	defer pulse.Stop()
+	for {
+		m := message{}
+		select {
+		case <-r.Context().Done():
+			return
+		case next, ok := <-sub:
+			if !ok {
+				return
+			}
+			m = next
+		case <-pulse.C:
+			m.Revision = f.Revision()
+		}
+		if !f.send(w, m) {
+			return
+		}
+	}
+}
+
+func (f *Follower) send(w http.ResponseWriter, m message) bool {
+	m.AgeMs = f.Age(time.Now()).Milliseconds()
+	line, err := json.Marshal(m)
+	if err != nil {
+		f.cfg.Log.Log(event.SourceLost, "err", err)
+		return false
+	}
+	if _, err := w.Write(append(line, '\n')); err != nil {
+		return false
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
--- /dev/null
+++ b/io/node/doc.go
@@ -0,0 +1,2 @@
+// Package node puts one entry instance on the users' platform together.
+package node
--- /dev/null
+++ b/io/node/handlers.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"magnolialedge/io/event"
+	"magnolialedge/io/mirror"
+)
+
+// Paths that the platform and callers use.
+const (
+	readyPath   = "/ready"
+	resolvePath = "/resolve"
+	lostPath    = "/v1/lost"
+	dumpPath    = "/v1/dump"
+	metricsPath = "/metrics"
+)
+
+func (n *Node) readyHandler() http.Handler {
+	e := echo.New()
+	e.GET(readyPath, func(c echo.Context) error {
+		if !n.isReady() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+// resolved is the answer to a caller that asks which addresses to use.
+type resolved struct {
+	Addresses []string `json:"addresses"`
+	TTLSec    float64  `json:"ttl-s"`
+}
+
+func (n *Node) directoryHandler() http.Handler {
+	e := echo.New()
+	e.GET(resolvePath, func(c echo.Context) error {
+		region := c.QueryParam("region")
+		if region == "" {
+			region = n.settings.Regions[c.QueryParam("zone")]
+		}
+		out := resolved{Addresses: n.members.addresses(c.QueryParam("name"), region)}
+		out.TTLSec = min(resolveLife, max(time.Second, n.settings.ResolveLimit)).Seconds()
+		if len(out.Addresses) == 0 {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.JSON(http.StatusOK, out)
+	})
+	return e
+}
+
+// lostMessage tells that a request crashed upstreams.
+type lostMessage struct {
+	Fingerprint uint64 `json:"fingerprint"`
+	Losses      int    `json:"losses"`
+}
+
+func (n *Node) peerHandler() http.Handler {
+	e := echo.New()
+	e.GET(mirror.StreamPath, echo.WrapHandler(n.follower))
+	e.POST(lostPath, func(c echo.Context) error {
+		var m lostMessage
+		if err := json.NewDecoder(io.LimitReader(c.Request().Body, mostLostMessage)).Decode(&m); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		n.forwarder.Quarantine(m.Fingerprint, m.Losses)
+		return c.NoContent(http.StatusNoContent)
+	})
+	return e
+}
+
+// mostLostMessage bounds a message of a peer, in bytes.
+const mostLostMessage = 1 << 10
+
+// dump is the state of the process.
+type dump struct {
+	Name     string `json:"name"`
+	Version  int64  `json:"routingVersion"`
+	Revision int64  `json:"revision"`
+	AgeMs    int64  `json:"ageMs"`
+	InFlight int64  `json:"inFlight"`
+	Leaving  bool   `json:"leaving"`
+	Members  any    `json:"members"`
+}
+
+func (n *Node) metricsHandler() http.Handler {
+	e := echo.New()
+	e.GET(metricsPath, echo.WrapHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
+	e.GET(dumpPath, func(c echo.Context) error {
+		return c.JSON(http.StatusOK, dump{
+			Name:     n.settings.Name,
+			Version:  n.forwarder.Version(),
+			Revision: n.follower.Revision(),
+			AgeMs:    n.follower.Age(time.Now()).Milliseconds(),
+			InFlight: n.callers.InFlight(),
+			Leaving:  n.leaving.Load(),
+			Members:  n.members.list(),
+		})
+	})
+	return e
+}
+
+// peerTimeout bounds a message to a peer.
+const peerTimeout = time.Second
+
+// tellLost tells all other entries of a request that crashed upstreams.
+func (n *Node) tellLost(fingerprint uint64, losses int) {
+	body, err := json.Marshal(lostMessage{Fingerprint: fingerprint, Losses: losses})
+	if err != nil {
+		n.log.Log(event.PeerUnreachable, "err", err)
+		return
+	}
+	for _, in := range n.members.list() {
+		if in.Name == n.settings.Name {
+			continue
+		}
+		go n.post(in.Peers, body)
+	}
+}
+
+// peerStreams opens streams of other entries.
+type peerStreams struct {
+	client *http.Client
+}
+
+// Open implements mirror.PeerDialer.
+func (p peerStreams) Open(ctx context.Context, address, path string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "stream")
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "stream")
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, errors.Newf("stream: status %d", resp.StatusCode)
+	}
+	return resp.Body, nil
+}
+
+func (n *Node) post(address string, body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+lostPath, bytes.NewReader(body))
+	if err == nil {
+		var resp *http.Response
+		if resp, err = n.peers.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+	if err != nil {
+		n.log.Log(event.PeerUnreachable, "peer", address, "err", err)
+	}
+}
--- /dev/null
+++ b/io/node/members.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"cmp"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnolialedge"
+	"magnolialedge/core/proc"
+)
+
+const (
+	// membersPrefix begins the keys under which entries announce themselves.
+	membersPrefix = "members/"
+	// watchersPerRegion is the number of entries of a region that watch the
+	// store for the others.
+	watchersPerRegion = 2
+)
+
+// members is the list of live entries.
+type members struct {
+	self magnolialedge.Instance
+	mu   sync.Mutex
+	byID map[string]magnolialedge.Instance
+	left bool
+}
+
+func newMembers(self magnolialedge.Instance) *members {
+	return &members{self: self, byID: map[string]magnolialedge.Instance{}}
+}
+
+// take takes a change if it concerns an entry.
+func (m *members) take(c magnolialedge.Item) bool {
+	name, ok := strings.CutPrefix(c.Key, membersPrefix)
+	if !ok {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var in magnolialedge.Instance
+	if c.Deleted || json.Unmarshal(c.Value, &in) != nil {
+		delete(m.byID, name)
+		return true
+	}
+	m.byID[name] = in
+	return true
+}
+
+func (m *members) setLeaving() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.left = true
+}
+
+// list returns all entries, this one as it is now.
+func (m *members) list() []magnolialedge.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	self := m.self
+	self.Leaving = m.left
+	out := []magnolialedge.Instance{self}
+	for name, in := range m.byID {
+		if name != self.Name {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// addresses returns the callers' addresses that clients of a host in a region
+// should use.
+func (m *members) addresses(host, region string) []string {
+	live, share := proc.Steer(m.list(), region, host, 0)
+	var out []string
+	for _, in := range live[:share] {
+		out = append(out, in.Callers)
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// sources returns the entries of this region from which changes of the store
+// are taken; none when this entry is one that watches the store.
+func (m *members) sources() []string {
+	var live []magnolialedge.Instance
+	for _, in := range m.list() {
+		if in.Region == m.self.Region && !in.Leaving {
+			live = append(live, in)
+		}
+	}
+	slices.SortFunc(live, func(a, b magnolialedge.Instance) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	var out []string
+	for i, in := range live[:min(watchersPerRegion, len(live))] {
+		if in.Name == m.self.Name {
+			return out[:0:0]
+		}
+		_ = i
+		out = append(out, in.Peers)
+	}
+	return out
+}
+
+// resolveLife is how long a resolve answer may be kept.
+const resolveLife = 2 * time.Second
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,251 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"magnolialedge"
+	"magnolialedge/core/pick"
+	"magnolialedge/io/conn"
+	"magnolialedge/io/event"
+	"magnolialedge/io/front"
+	"magnolialedge/io/link"
+	"magnolialedge/io/mirror"
+	"magnolialedge/io/serve"
+)
+
+// Config constructs a Node.
+type Config struct {
+	Settings Settings
+	// MetricsPort is the port of metrics and dumps.
+	MetricsPort int
+	Dialect     magnolialedge.Dialect
+	Decoder     magnolialedge.FactDecoder
+	// NewStore returns the client of the platform's store.
+	NewStore func(address string, transport *http.Transport, count func(call string)) magnolialedge.Keyspace
+	LogTo    io.Writer
+}
+
+// Node is one entry instance.
+type Node struct {
+	cfg      Config
+	settings Settings
+	start    time.Time
+	log      event.Logger
+	registry *prometheus.Registry
+
+	members   *members
+	follower  *mirror.Follower
+	pool      *link.Pool
+	forwarder *serve.Forwarder
+	callers   *front.Server
+	store     magnolialedge.Keyspace
+	peers     *http.Client
+	leaving   atomic.Bool
+
+	listeners []net.Listener
+}
+
+const (
+	// crossZonePerKB and crossRegionPerKB are the waits that are worth one
+	// kilobyte over such links.
+	crossZonePerKB   = 4 * time.Millisecond
+	crossRegionPerKB = 30 * time.Millisecond
+	// retryReserveShare is the part of the free retries that all entries
+	// together may spend before they have earned any.
+	retryReserveShare = 0.5
+	// retryShareUsed is the part of the shared retry budget that is used.
+	retryShareUsed = 0.7
+	// assumedEntries divides the free retries among entries.
+	assumedEntries = 14
+)
+
+// New puts an instance together.
+func New(cfg Config) (*Node, error) {
+	if err := cfg.Settings.Check(); err != nil {
+		return nil, err
+	}
+	s := cfg.Settings
+	n := &Node{cfg: cfg, settings: s, start: time.Now(), registry: prometheus.NewRegistry()}
+	n.log = event.NewLogger(cfg.LogTo, s.Name)
+	dialer := conn.NewDialer(conn.DialerConfig{})
+	n.pool = link.NewPool(link.PoolConfig{Dialer: dialer, Dialect: cfg.Dialect})
+	n.forwarder = serve.NewForwarder(serve.Config{
+		Fleet: pick.NewFleet(pick.Config{
+			Zone:    s.Zone,
+			Regions: s.Regions,
+			Prices:  pick.Prices{CrossZonePerKB: crossZonePerKB, CrossRegionPerKB: crossRegionPerKB},
+			Seed:    uint64(n.start.UnixNano()),
+		}),
+		Pool:         n.pool,
+		Dialect:      cfg.Dialect,
+		Metrics:      serve.NewMetrics(n.registry),
+		Log:          n.log,
+		RetryShare:   s.RetryShare * retryShareUsed,
+		RetryReserve: s.RetryExtra * retryReserveShare / assumedEntries,
+		TellLost:     n.tellLost,
+	})
+	n.callers = front.NewServer(n.forwarder)
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "magnolialedge", Name: "store_calls_total", Help: "Calls to the platform's store.",
+	}, []string{"call"})
+	n.registry.MustRegister(calls)
+	n.store = cfg.NewStore(s.Store, dialer.Transport(""), func(call string) { calls.WithLabelValues(call).Inc() })
+	n.peers = &http.Client{Transport: dialer.Transport("")}
+	n.members = newMembers(n.self())
+	n.follower = mirror.NewFollower(mirror.Config{
+		Store:    n.store,
+		OnChange: n.take,
+		Sources:  n.members.sources,
+		Peers:    peerStreams{client: n.peers},
+		Log:      n.log,
+	})
+	return n, nil
+}
+
+func (n *Node) self() magnolialedge.Instance {
+	return magnolialedge.Instance{
+		Name:      n.settings.Name,
+		Region:    n.settings.Region,
+		Zone:      n.settings.Zone,
+		Callers:   n.settings.Callers,
+		Peers:     net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort)),
+		StartedAt: n.start.UnixMilli(),
+		Leaving:   n.leaving.Load(),
+	}
+}
+
+// take brings changes of the store to those whom they concern.
+func (n *Node) take(changes []magnolialedge.Item) {
+	for _, c := range changes {
+		if n.members.take(c) {
+			continue
+		}
+		fact, err := n.cfg.Decoder.Decode(c)
+		if err != nil {
+			n.log.Log(event.ItemUnusable, "key", c.Key, "revision", c.Revision, "err", err)
+		}
+		n.apply(fact, c)
+	}
+}
+
+func (n *Node) apply(fact magnolialedge.Fact, c magnolialedge.Item) {
+	if fact.Routing != nil && n.forwarder.SetRouting(*fact.Routing) {
+		n.log.Log(event.RoutingInForce, "version", fact.Routing.Version, "revision", c.Revision, "routes", len(fact.Routing.Routes))
+	}
+	if fact.Upstream != nil {
+		n.forwarder.Register(*fact.Upstream)
+		n.log.Log(event.UpstreamRegistered, "upstream", fact.Upstream.ID, "service", fact.Upstream.Service, "address", fact.Upstream.Address, "draining", fact.Upstream.Draining, "revision", c.Revision)
+	}
+	if fact.Removed != "" {
+		n.forwarder.Remove(fact.Removed)
+		n.log.Log(event.UpstreamRemoved, "upstream", fact.Removed, "revision", c.Revision)
+	}
+}
+
+// Run serves until ctx is done, and then stops without cutting a request.
+// Settings that come in reload replace those in force.
+func (n *Node) Run(ctx context.Context, reload <-chan Settings) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.log.Log(event.Started, "callers", n.settings.Callers, "directory", n.settings.Directory, "zone", n.settings.Zone, "region", n.settings.Region)
+	go n.pool.Run(work)
+	go n.follower.Run(work)
+	announced := make(chan struct{})
+	announce, endAnnounce := context.WithCancel(work)
+	go func() {
+		defer close(announced)
+		n.announce(announce)
+	}()
+	go n.tellReady(work)
+	for {
+		select {
+		case s := <-reload:
+			n.reload(s)
+		case <-ctx.Done():
+			n.stop(work)
+			endAnnounce()
+			<-announced
+			n.log.Log(event.Stopped, "inFlight", n.callers.InFlight())
+			return nil
+		}
+	}
+}
+
+// reload takes over new settings. Addresses are those of the start.
+func (n *Node) reload(s Settings) {
+	if err := s.Check(); err != nil {
+		n.log.Log(event.SettingsRejected, "err", err)
+		return
+	}
+	n.log.Log(event.SettingsReloaded, "stopLimit", s.StopLimit)
+	n.settings.StopLimit = s.StopLimit
+}
+
+func (n *Node) listen() error {
+	s := n.settings
+	callers, err := net.Listen("tcp", s.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	n.listeners = append(n.listeners, callers)
+	go func() { _ = n.callers.Serve(callers) }()
+	handlers := map[string]http.Handler{
+		s.Ready:        n.readyHandler(),
+		s.Directory:    n.directoryHandler(),
+		n.self().Peers: n.peerHandler(),
+	}
+	if n.cfg.MetricsPort > 0 {
+		handlers[net.JoinHostPort(s.IP, strconv.Itoa(n.cfg.MetricsPort))] = n.metricsHandler()
+	}
+	for address, h := range handlers {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		n.listeners = append(n.listeners, l)
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: innerHeaderTimeout, IdleTimeout: innerIdleTimeout}
+		go func() { _ = srv.Serve(l) }()
+	}
+	return nil
+}
+
+const (
+	// innerHeaderTimeout and innerIdleTimeout bound the connections of the
+	// other listeners.
+	innerHeaderTimeout = 3 * time.Second
+	innerIdleTimeout   = 20 * time.Second
+	// readyPoll is the time between two looks whether the entry is ready.
+	readyPoll = 10 * time.Millisecond
+)
+
+func (n *Node) isReady() bool {
+	return n.forwarder.IsReady() && !n.leaving.Load()
+}
+
+func (n *Node) tellReady(ctx context.Context) {
+	for ctx.Err() == nil && !n.isReady() {
+		sleep(ctx, readyPoll)
+	}
+	n.log.Log(event.Ready, "version", n.forwarder.Version(), "afterMs", time.Since(n.start).Milliseconds())
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/node/settings.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settings is what one instance is told about itself and its surroundings.
+type Settings struct {
+	Name   string
+	Zone   string
+	Region string
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
+	IP      string
+	// Callers, Ready and Directory are the addresses to listen at.
+	Callers   string
+	Ready     string
+	Directory string
+	// Store is the address of the platform's store.
+	Store string
+	// FirstPort and LastPort are free for traffic between entries.
+	FirstPort, LastPort int
+	// StopLimit is the time from the signal to stop to the end by force.
+	StopLimit time.Duration
+	// DrainLimit and ConfigLimit are the times within which a draining upstream
+	// and a version of the configuration are heeded.
+	DrainLimit  time.Duration
+	ConfigLimit time.Duration
+	// RetryShare and RetryExtra bound the retries of all entries in a window of
+	// RetryWindow: a share of the requests and a number.
+	RetryShare  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	// ResolveLimit bounds how long a resolve answer counts.
+	ResolveLimit time.Duration
+	// ReadingsPerSec bounds the readings of one upstream by all entries.
+	ReadingsPerSec float64
+	// StoreReads and StoreWrites bound the calls of all entries a second.
+	StoreReads  float64
+	StoreWrites float64
+	// LeastLease is the shortest lease that the store grants.
+	LeastLease time.Duration
+	MemoryMB   int
+	Files      int
+}
+
+// Check returns what makes the settings unusable.
+func (s Settings) Check() error {
+	var faults []string
+	add := func(text string) { faults = append(faults, text) }
+	for _, f := range [][2]string{{"callers", s.Callers}, {"ready", s.Ready}, {"directory", s.Directory}, {"store", s.Store}} {
+		if _, err := netip.ParseAddrPort(f[1]); err != nil {
+			add("the address for " + f[0] + " is \"" + f[1] + "\"; want an IP number and a port")
+		}
+	}
+	for _, f := range [][2]string{{"name", s.Name}, {"zone", s.Zone}, {"region", s.Region}, {"IP number", s.IP}} {
+		if f[1] == "" {
+			add("the " + f[0] + " is missing")
+		}
+	}
+	if s.FirstPort <= 0 || s.LastPort < s.FirstPort {
+		add("the range of ports between entries is empty")
+	}
+	if s.StopLimit <= 0 {
+		add("the stop limit is missing")
+	}
+	if len(faults) > 0 {
+		return errors.Newf("settings: %s", strings.Join(faults, "; "))
+	}
+	return nil
+}
--- /dev/null
+++ b/io/serve/attempt.go
@@ -0,0 +1,187 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/core/pick"
+	"magnolialedge/io/event"
+	"magnolialedge/io/front"
+	"magnolialedge/io/link"
+)
+
+// result is how one attempt ended.
+type result struct {
+	answer *link.Answer
+	// notRun tells that the request was certainly not run.
+	notRun bool
+	// bad tells that the answer can't be passed on as a success.
+	bad bool
+	// reached tells that the request may have reached the upstream.
+	reached bool
+	err     error
+}
+
+// attempt sends the request to an upstream.
+func (x *exchange) attempt(ctx context.Context, p *placement) result {
+	begun := time.Now()
+	answer, sent, err := p.conn.Exchange(ctx, x.request())
+	took := time.Since(begun)
+	r := x.judge(answer, sent, err)
+	x.learn(ctx, p, r, took)
+	x.f.cfg.Pool.Put(p.conn)
+	return r
+}
+
+func (x *exchange) request() *link.Request {
+	d := x.f.cfg.Dialect
+	return &link.Request{
+		ID:      x.id,
+		Method:  x.req.Method,
+		Target:  x.req.Target,
+		Host:    x.req.Host,
+		Header:  endToEnd(x.req.Header, "Expect", "Host", d.RequestID, d.Deadline, d.ExpectedInstance),
+		Body:    x.req.Body,
+		HasBody: x.req.HasBody || x.req.Method == http.MethodPost || x.req.Method == http.MethodPut,
+		Left:    time.Until(x.deadline),
+	}
+}
+
+func (x *exchange) judge(answer *link.Answer, sent link.Sent, err error) result {
+	if err != nil {
+		return result{err: err, notRun: !sent.Written, reached: sent.Written}
+	}
+	r := result{answer: answer, reached: true, notRun: answer.NotRun}
+	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	encoded := answer.Header.Get("Content-Encoding") != ""
+	r.bad = !answer.NotRun && (encoded || (success && !answer.Signature))
+	return r
+}
+
+// learn tells the decisions how the attempt ended.
+func (x *exchange) learn(ctx context.Context, p *placement, r result, took time.Duration) {
+	end, name := x.ending(ctx, r, p, took)
+	if r.answer != nil && r.answer.HasLoad {
+		x.f.mu.Lock()
+		x.f.fleet.Read(time.Now(), p.ID, r.answer.Reading)
+		x.f.mu.Unlock()
+	}
+	x.note(p, name, took)
+	x.f.end(p, x.need, took, end)
+	if r.err != nil && r.reached && ctx.Err() == nil {
+		x.f.cfg.Pool.Drop(p.ID)
+		x.f.cfg.Log.Log(event.UpstreamLost, "service", x.need.Service, "upstream", p.ID, "requestId", x.id, "err", r.err)
+		go x.f.suspect(p.Registration, x.print, x.match.Service.HealthPath)
+	}
+}
+
+// silentFactor is the multiple of the expected time of work after which an
+// upstream without an answer counts as failed.
+const silentFactor = 4
+
+func (x *exchange) ending(ctx context.Context, r result, p *placement, took time.Duration) (pick.Ending, string) {
+	switch {
+	case r.err != nil && ctx.Err() != nil && took < silentFactor*p.Work:
+		return pick.EndedCancelled, "cancelled"
+	case r.err != nil && ctx.Err() != nil:
+		return pick.EndedFailed, "silent"
+	case r.err != nil && r.notRun:
+		return pick.EndedUnreached, "unreached"
+	case r.err != nil:
+		return pick.EndedFailed, "lost"
+	case r.answer.Status == http.StatusMisdirectedRequest && r.notRun:
+		return pick.EndedUnreached, "otherInstance"
+	case r.notRun:
+		return pick.EndedRefused, "refused"
+	case r.bad:
+		return pick.EndedFailed, "bad"
+	case r.answer.Status >= http.StatusInternalServerError:
+		return pick.EndedFailed, "failed"
+	}
+	return pick.EndedWell, "answered"
+}
+
+// settle returns the request's answer, or nil when another attempt is to be
+// made.
+func (x *exchange) settle(ctx context.Context, r result) *front.Answer {
+	if r.reached {
+		x.reached++
+	}
+	if !r.notRun {
+		x.unsure = true
+	}
+	good := r.err == nil && !r.notRun && !r.bad
+	if good && (r.answer.Status < http.StatusInternalServerError || !x.need.Repeatable) {
+		return x.pass(r.answer)
+	}
+	if good {
+		x.spare = r.answer
+	}
+	if ctx.Err() == nil && x.mayTryAgain(r) {
+		x.need.Tried = x.triedIDs()
+		return nil
+	}
+	return x.giveUp(ctx, x.kindOf(r))
+}
+
+// mayTryAgain reports whether another attempt is allowed. An attempt that never
+// reached an upstream costs no budget.
+func (x *exchange) mayTryAgain(r result) bool {
+	if x.tries >= mostTries || (x.unsure && !x.need.Repeatable) {
+		return false
+	}
+	if x.reached >= max(1, x.match.Attempts) {
+		return false
+	}
+	return !r.reached || x.f.spendRetry(x.need.Service)
+}
+
+func (x *exchange) triedIDs() []string {
+	out := make([]string, 0, len(x.story))
+	for _, s := range x.story {
+		out = append(out, s.upstream)
+	}
+	return out
+}
+
+func (x *exchange) kindOf(r result) magnolialedge.Kind {
+	switch {
+	case r.bad:
+		return magnolialedge.KindBadAnswer
+	case r.notRun && r.err != nil:
+		return magnolialedge.KindNoUpstream
+	case r.notRun:
+		return magnolialedge.KindOverloaded
+	}
+	return magnolialedge.KindUpstreamLost
+}
+
+// suspectDelay is how long after a lost connection the upstream is asked
+// whether it still lives.
+const suspectDelay = 30 * time.Millisecond
+
+// suspect counts a request as one that crashes upstreams if the upstream that
+// lost it can't be reached any more.
+func (f *Forwarder) suspect(r magnolialedge.Registration, print uint64, health string) {
+	time.Sleep(suspectDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), readingTimeout)
+	defer cancel()
+	c, err := f.open(ctx, r)
+	if err == nil {
+		err = f.reading(ctx, c, health)
+		f.cfg.Pool.Put(c)
+	}
+	if err == nil || errors.Is(err, link.ErrOtherInstance) {
+		return
+	}
+	f.unreachable(r, err)
+	f.mu.Lock()
+	losses := f.quarantine.Lost(time.Now(), print)
+	f.mu.Unlock()
+	f.cfg.Log.Log(event.UpstreamCrashed, "upstream", r.ID, "fingerprint", print, "losses", losses)
+	f.cfg.TellLost(print, losses)
+}
--- /dev/null
+++ b/io/serve/exchange.go
@@ -0,0 +1,291 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"magnolialedge"
+	"magnolialedge/core/pick"
+	"magnolialedge/core/route"
+	"magnolialedge/io/front"
+	"magnolialedge/io/link"
+)
+
+const (
+	// defaultTimeout bounds a request for which neither its caller nor its
+	// route states a time.
+	defaultTimeout = 30 * time.Second
+	// mostCandidates is the number of upstreams that are asked for their load
+	// before a request is sent.
+	mostCandidates = 3
+	// mostTries bounds the attempts of one request, those included that never
+	// reached an upstream.
+	mostTries = 5
+)
+
+// exchange carries one request to upstreams and one answer back.
+type exchange struct {
+	f        *Forwarder
+	req      *front.Request
+	id       string
+	match    route.Match
+	known    bool
+	found    bool
+	deadline time.Time
+	need     pick.Need
+	print    uint64
+
+	// reached is the number of attempts that may have reached an upstream.
+	reached int
+	tries   int
+	// unsure tells that an upstream may have run the request.
+	unsure bool
+	// spare is an upstream's failure that is passed on when nothing better
+	// comes.
+	spare  *link.Answer
+	waited time.Duration
+	story  []attemptStory
+	kind   magnolialedge.Kind
+}
+
+// attemptStory is what a log line tells of one attempt.
+type attemptStory struct {
+	upstream string
+	end      string
+	took     time.Duration
+	readAge  time.Duration
+	slowness float64
+	load     float64
+}
+
+func (f *Forwarder) newExchange(r *front.Request) *exchange {
+	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Dialect.RequestID)}
+	x.match, x.known, x.found = f.find(r)
+	x.deadline = r.Arrived.Add(x.timeLimit())
+	x.need = pick.Need{
+		Service:    x.match.Service.Name,
+		Route:      x.match.Name,
+		Repeatable: x.match.Kind.Repeatable(),
+		Priority:   x.match.Priority,
+		Aim:        r.Arrived.Add(x.match.Aim()),
+		AimLength:  x.match.Aim(),
+		Deadline:   x.deadline,
+		Bytes:      int64(len(r.Body)),
+	}
+	x.print = fingerprint(r)
+	return x
+}
+
+// timeLimit is the shorter one of what the caller and the route allow.
+func (x *exchange) timeLimit() time.Duration {
+	limit := defaultTimeout
+	if ms, err := strconv.ParseInt(x.req.Header.Get(x.f.cfg.Dialect.Deadline), 10, 64); err == nil && ms >= 0 {
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	if t := x.match.Timeout(); t > 0 {
+		limit = min(limit, t)
+	}
+	return limit
+}
+
+// fingerprint identifies what a caller asks, also when it asks again.
+func fingerprint(r *front.Request) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{r.Method, r.Host, r.Target} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return d.Sum64()
+}
+
+func (x *exchange) run(ctx context.Context) *front.Answer {
+	switch {
+	case !x.known:
+		return x.refuse(magnolialedge.KindNotReady, magnolialedge.AnswerFor(magnolialedge.KindNotReady).RetryAfter)
+	case !x.found:
+		return x.refuse(magnolialedge.KindNoRoute, 0)
+	}
+	if left, refused := x.f.refuses(x.print); refused {
+		return x.refuse(magnolialedge.KindQuarantined, left)
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	x.f.earnRetry(x.need.Service)
+	for {
+		x.tries++
+		p, kind := x.place(ctx)
+		if p == nil {
+			return x.giveUp(ctx, kind)
+		}
+		r := x.attempt(ctx, p)
+		if a := x.settle(ctx, r); a != nil {
+			return a
+		}
+	}
+}
+
+func (f *Forwarder) refuses(print uint64) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quarantine.Refuses(time.Now(), print)
+}
+
+// placement is an upstream that was picked, with a connection to it.
+type placement struct {
+	pick.Candidate
+	conn *link.Conn
+}
+
+// place picks an upstream, after a wait for room if there is none. Without one
+// it returns the reason.
+func (x *exchange) place(ctx context.Context) (*placement, magnolialedge.Kind) {
+	f := x.f
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		found, fit := f.fleet.Candidates(time.Now(), x.need, mostCandidates)
+		f.mu.Unlock()
+		if !fit {
+			return nil, magnolialedge.KindNoUpstream
+		}
+		if len(found) == 0 {
+			begun := time.Now()
+			ok := f.wait(ctx, x.need, x.match.Service.HealthPath)
+			x.waited += time.Since(begun)
+			if !ok {
+				return nil, magnolialedge.KindOverloaded
+			}
+			continue
+		}
+		if p := x.choose(ctx, found); p != nil {
+			return p, ""
+		}
+	}
+	return nil, magnolialedge.KindDeadlineExceeded
+}
+
+// choose asks the candidates for their load, counts the request at the best one
+// and returns it with a connection, or nil when none is left.
+func (x *exchange) choose(ctx context.Context, found []pick.Candidate) *placement {
+	f := x.f
+	conns := f.probe(ctx, found, x.match.Service.HealthPath)
+	f.mu.Lock()
+	now, _ := f.fleet.Candidates(time.Now(), x.need, mostCandidates)
+	var best *pick.Candidate
+	if len(now) > 0 {
+		best = &now[0]
+		f.fleet.Begin(best.ID)
+	}
+	f.mu.Unlock()
+	for id, c := range conns {
+		if best == nil || id != best.ID {
+			f.cfg.Pool.Put(c)
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	p := &placement{Candidate: *best, conn: conns[best.ID]}
+	if p.conn != nil {
+		return p
+	}
+	c, err := f.connect(ctx, best.Registration, !x.need.Repeatable, x.match.Service.HealthPath)
+	if err != nil {
+		x.note(p, "unreached", 0)
+		f.end(p, x.need, 0, pick.EndedUnreached)
+		f.unreachable(best.Registration, err)
+		return nil
+	}
+	p.conn = c
+	return p
+}
+
+func (f *Forwarder) end(p *placement, n pick.Need, took time.Duration, e pick.Ending) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fleet.End(time.Now(), pick.End{ID: p.ID, Need: n, Took: took, Slowness: p.Slowness, Ended: e})
+	f.runQueue(n.Service)
+}
+
+func (x *exchange) note(p *placement, end string, took time.Duration) {
+	age := time.Duration(-1)
+	if !p.ReadAt.IsZero() {
+		age = time.Since(p.ReadAt) - took
+	}
+	x.story = append(x.story, attemptStory{upstream: p.ID, end: end, took: took, readAge: age, slowness: p.Slowness, load: p.Load})
+	x.f.cfg.Metrics.Attempts.WithLabelValues(x.need.Service, end).Inc()
+}
+
+// giveUp answers a request for which no upstream is to be had.
+func (x *exchange) giveUp(ctx context.Context, kind magnolialedge.Kind) *front.Answer {
+	if x.spare != nil {
+		return x.pass(x.spare)
+	}
+	if ctx.Err() != nil {
+		kind = magnolialedge.KindDeadlineExceeded
+	}
+	if x.unsure {
+		if kind != magnolialedge.KindDeadlineExceeded {
+			kind = magnolialedge.KindUpstreamLost
+		}
+		return x.refuse(kind, 0)
+	}
+	if kind == magnolialedge.KindDeadlineExceeded {
+		kind = magnolialedge.KindOverloaded
+	}
+	return x.refuse(kind, x.f.retryAfter(x.need))
+}
+
+func (f *Forwarder) retryAfter(n pick.Need) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fleet.RetryAfter(time.Now(), n, f.queueOf(n.Service).Len())
+}
+
+func (x *exchange) refuse(kind magnolialedge.Kind, retryAfter time.Duration) *front.Answer {
+	x.kind = kind
+	a := refusal(kind, retryAfter)
+	if x.id != "" {
+		a.Header.Set(x.f.cfg.Dialect.RequestID, x.id)
+	}
+	return a
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd returns the headers that are passed on.
+func endToEnd(h http.Header, without ...string) http.Header {
+	out := h.Clone()
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for _, name := range without {
+		out.Del(name)
+	}
+	return out
+}
+
+// pass returns an upstream's answer as its caller gets it.
+func (x *exchange) pass(a *link.Answer) *front.Answer {
+	d := x.f.cfg.Dialect
+	return &front.Answer{
+		Status: a.Status,
+		Header: endToEnd(a.Header, d.Load, d.Instance, d.NotRun),
+		Body:   a.Body,
+		Length: a.Length,
+	}
+}
--- /dev/null
+++ b/io/serve/forwarder.go
@@ -0,0 +1,195 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"magnolialedge"
+	"magnolialedge/core/pick"
+	"magnolialedge/core/proc"
+	"magnolialedge/core/route"
+	"magnolialedge/io/event"
+	"magnolialedge/io/front"
+	"magnolialedge/io/link"
+)
+
+// Config constructs a Forwarder.
+type Config struct {
+	Fleet   *pick.Fleet
+	Pool    *link.Pool
+	Dialect magnolialedge.Dialect
+	Metrics *Metrics
+	Log     event.Logger
+	// RetryShare is the number of retries that each request earns, and
+	// RetryReserve what an entry may spend before it has earned any.
+	RetryShare   float64
+	RetryReserve float64
+	// TellLost passes on that a request crashed upstreams.
+	TellLost func(fingerprint uint64, losses int)
+}
+
+// Forwarder answers the requests of callers. It implements front.Handler.
+type Forwarder struct {
+	cfg Config
+
+	// mu guards all that follows; it is never held during input or output.
+	mu         sync.Mutex
+	table      *route.Table
+	fleet      *pick.Fleet
+	queues     map[string]*queue
+	retries    map[string]*proc.ShareBudget
+	quarantine *proc.Quarantine
+}
+
+// NewForwarder returns a Forwarder without routes.
+func NewForwarder(cfg Config) *Forwarder {
+	return &Forwarder{
+		cfg:        cfg,
+		fleet:      cfg.Fleet,
+		queues:     map[string]*queue{},
+		retries:    map[string]*proc.ShareBudget{},
+		quarantine: proc.NewQuarantine(),
+	}
+}
+
+// SetRouting puts a version of the routes in force and reports whether it is
+// newer than the one before.
+func (f *Forwarder) SetRouting(r magnolialedge.Routing) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table != nil && r.Version <= f.table.Routing().Version {
+		return false
+	}
+	f.table = route.NewTable(r, f.table)
+	return true
+}
+
+// Register takes an upstream's registration.
+func (f *Forwarder) Register(r magnolialedge.Registration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fleet.Register(time.Now(), r)
+	f.runQueue(r.Service)
+}
+
+// Remove forgets an upstream.
+func (f *Forwarder) Remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fleet.Remove(id)
+	f.cfg.Pool.Drop(id)
+}
+
+// IsReady reports whether routes are in force.
+func (f *Forwarder) IsReady() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table != nil
+}
+
+// Version returns the version of the routes in force, or 0.
+func (f *Forwarder) Version() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table == nil {
+		return 0
+	}
+	return f.table.Routing().Version
+}
+
+// Limits implements front.Handler.
+func (f *Forwarder) Limits() magnolialedge.CallerLimits {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table == nil {
+		return magnolialedge.CallerLimits{}
+	}
+	return f.table.Routing().Limits
+}
+
+// IsRepeatable implements front.Handler.
+func (f *Forwarder) IsRepeatable(r *front.Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table == nil {
+		return false
+	}
+	kind, ok := f.table.Kind(r.Host, r.Path)
+	return ok && kind.Repeatable()
+}
+
+// Quarantine takes a peer's word on a request that crashed upstreams.
+func (f *Forwarder) Quarantine(fingerprint uint64, losses int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.quarantine.Told(time.Now(), fingerprint, losses)
+}
+
+// Answer implements front.Handler.
+func (f *Forwarder) Answer(ctx context.Context, r *front.Request) *front.Answer {
+	x := f.newExchange(r)
+	a := x.run(ctx)
+	x.report(a)
+	return a
+}
+
+// Refuse implements front.Handler.
+func (f *Forwarder) Refuse(kind magnolialedge.Kind, detail string) *front.Answer {
+	f.cfg.Metrics.Requests.WithLabelValues("", string(kind)).Inc()
+	f.cfg.Log.Log(event.RequestUnreadable, "kind", kind, "detail", detail)
+	return refusal(kind, magnolialedge.AnswerFor(kind).RetryAfter)
+}
+
+func (f *Forwarder) find(r *front.Request) (m route.Match, known, found bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table == nil {
+		return route.Match{}, false, false
+	}
+	m, found = f.table.Find(r.Host, r.Path)
+	return m, true, found
+}
+
+func (f *Forwarder) budget(service string) *proc.ShareBudget {
+	b, ok := f.retries[service]
+	if !ok {
+		b = proc.NewShareBudgetOf(f.cfg.RetryShare, f.cfg.RetryReserve, f.cfg.RetryReserve+mostSavedRetries)
+		f.retries[service] = b
+	}
+	return b
+}
+
+// mostSavedRetries bounds the retries that a service saves up beyond its
+// reserve.
+const mostSavedRetries = 4
+
+func (f *Forwarder) earnRetry(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget(service).Earn()
+}
+
+func (f *Forwarder) spendRetry(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget(service).Spend()
+}
+
+// refusal returns an answer of the system itself.
+func refusal(kind magnolialedge.Kind, retryAfter time.Duration) *front.Answer {
+	row := magnolialedge.AnswerFor(kind)
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	if row.Status == http.StatusServiceUnavailable && retryAfter > 0 {
+		h.Set("Retry-After", formatSeconds(retryAfter))
+	}
+	return &front.Answer{
+		Status: row.Status,
+		Header: h,
+		Body:   []byte(`{"kind":"` + string(kind) + `","outcome":"` + string(row.Outcome) + `"}`),
+		Length: -1,
+	}
+}
--- /dev/null
+++ b/io/serve/metrics.go
@@ -0,0 +1,57 @@
+package serve
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts what a Forwarder does.
+type Metrics struct {
+	Requests *prometheus.CounterVec
+	Attempts *prometheus.CounterVec
+	Latency  *prometheus.HistogramVec
+	Waits    prometheus.Histogram
+	Opened   prometheus.Counter
+	Readings prometheus.Counter
+}
+
+// NewMetrics returns Metrics that are registered with r.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "magnolialedge", Name: "routed_requests_total",
+			Help: "Requests by route and what became of them.",
+		}, []string{"route", "result"}),
+		Attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "magnolialedge", Name: "routed_attempts_total",
+			Help: "Attempts by service and how they ended.",
+		}, []string{"service", "end"}),
+		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "magnolialedge", Name: "routed_request_seconds",
+			Help:    "Time from a request's head to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"route"}),
+		Waits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "magnolialedge", Name: "routed_wait_seconds",
+			Help:    "Time that requests waited for room.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+		}),
+		Opened: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "magnolialedge", Name: "upstream_connections_opened_total",
+			Help: "Connections opened to upstreams.",
+		}),
+		Readings: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "magnolialedge", Name: "upstream_readings_total",
+			Help: "Readings of load asked of upstreams.",
+		}),
+	}
+	r.MustRegister(m.Requests, m.Attempts, m.Latency, m.Waits, m.Opened, m.Readings)
+	return m
+}
+
+// formatSeconds writes a time as Retry-After takes it, in seconds.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
--- /dev/null
+++ b/io/serve/probe.go
@@ -0,0 +1,182 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/core/pick"
+	"magnolialedge/io/event"
+	"magnolialedge/io/link"
+)
+
+const (
+	// staleReading is the age from which a reading is taken anew before a
+	// request is sent.
+	staleReading = 25 * time.Millisecond
+	// readingWait is how long a request waits for readings beyond the trip.
+	readingWait = 8 * time.Millisecond
+	// readingTimeout is how long an upstream may take to answer with its load
+	// before it counts as unreachable, beyond the trip.
+	readingTimeout = 250 * time.Millisecond
+	// provenLife is how long a connection counts as alive after a sign of life
+	// for requests that may be sent again, and provenOnceLife for others.
+	provenLife     = time.Second
+	provenOnceLife = 100 * time.Millisecond
+)
+
+// probed is the result of asking one candidate for its load.
+type probed struct {
+	id   string
+	conn *link.Conn
+}
+
+// probe asks candidates for their load and returns connections to those that
+// have answered. The others are left to answer later.
+func (f *Forwarder) probe(ctx context.Context, found []pick.Candidate, health string) map[string]*link.Conn {
+	results := make(chan probed, len(found))
+	asked := 0
+	longest := time.Duration(0)
+	for _, c := range found {
+		if !c.Local || time.Since(c.ReadAt) < staleReading {
+			continue
+		}
+		asked++
+		longest = max(longest, c.Trip)
+		go func() {
+			results <- probed{id: c.ID, conn: f.ask(c.Registration, c.Trip, health)}
+		}()
+	}
+	conns := make(map[string]*link.Conn, asked)
+	timer := time.NewTimer(longest + readingWait)
+	defer timer.Stop()
+	for got := 0; got < asked; got++ {
+		select {
+		case p := <-results:
+			if p.conn != nil {
+				conns[p.id] = p.conn
+			}
+		case <-timer.C:
+			go f.collect(results, asked-got)
+			return conns
+		case <-ctx.Done():
+			go f.collect(results, asked-got)
+			return conns
+		}
+	}
+	return conns
+}
+
+// collect gives back the connections of late answers.
+func (f *Forwarder) collect(results chan probed, left int) {
+	for range left {
+		if p := <-results; p.conn != nil {
+			f.cfg.Pool.Put(p.conn)
+		}
+	}
+}
+
+// readLoad takes a reading of an upstream's load.
+func (f *Forwarder) readLoad(r magnolialedge.Registration, health string) {
+	if c := f.ask(r, 0, health); c != nil {
+		f.cfg.Pool.Put(c)
+	}
+}
+
+// ask takes a reading and returns the connection on which it came, or nil.
+func (f *Forwarder) ask(r magnolialedge.Registration, trip time.Duration, health string) *link.Conn {
+	ctx, cancel := context.WithTimeout(context.Background(), readingTimeout+2*trip)
+	defer cancel()
+	c, pooled := f.cfg.Pool.Take(r.ID)
+	if pooled {
+		err := f.reading(ctx, c, health)
+		if err == nil {
+			return c
+		}
+		c.Close()
+		if ctx.Err() != nil || errors.Is(err, link.ErrOtherInstance) {
+			f.unreachable(r, err)
+			return nil
+		}
+	}
+	c, err := f.open(ctx, r)
+	if err == nil {
+		err = f.reading(ctx, c, health)
+	}
+	if err == nil {
+		return c
+	}
+	if c != nil {
+		c.Close()
+	}
+	f.unreachable(r, err)
+	return nil
+}
+
+func (f *Forwarder) open(ctx context.Context, r magnolialedge.Registration) (*link.Conn, error) {
+	c, err := f.cfg.Pool.Open(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	f.cfg.Metrics.Opened.Inc()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fleet.Trip(r.ID, c.Opening)
+	return c, nil
+}
+
+func (f *Forwarder) reading(ctx context.Context, c *link.Conn, health string) error {
+	f.cfg.Metrics.Readings.Inc()
+	reading, told, err := c.Health(ctx, c.To.Address, health)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if told {
+		f.fleet.Read(time.Now(), c.To.ID, reading)
+	} else {
+		f.fleet.Seen(time.Now(), c.To.ID)
+	}
+	return nil
+}
+
+func (f *Forwarder) unreachable(r magnolialedge.Registration, err error) {
+	f.mu.Lock()
+	first := f.fleet.Unreachable(time.Now(), r.ID)
+	f.mu.Unlock()
+	f.cfg.Pool.Drop(r.ID)
+	if first {
+		f.cfg.Log.Log(event.UpstreamUnreachable, "upstream", r.ID, "service", r.Service, "address", r.Address, "err", err)
+	}
+}
+
+// connect returns a connection that is good for a request: one that was asked
+// just now, one that was proven of late, or a new one.
+func (f *Forwarder) connect(ctx context.Context, r magnolialedge.Registration, once bool, health string) (*link.Conn, error) {
+	life := provenLife
+	if once {
+		life = provenOnceLife
+	}
+	if c, ok := f.cfg.Pool.Take(r.ID); ok {
+		if time.Since(c.ProvenAt()) < life {
+			return c, nil
+		}
+		short, cancel := context.WithTimeout(ctx, readingTimeout)
+		err := f.reading(short, c, health)
+		cancel()
+		if err == nil {
+			return c, nil
+		}
+		c.Close()
+		f.cfg.Pool.Drop(r.ID)
+	}
+	short, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	return f.open(short, r)
+}
+
+// openTimeout bounds the opening of a connection for a request.
+const openTimeout = 400 * time.Millisecond
--- a/kind.go
+++ b/kind.go
@@ -37,6 +37,12 @@
 	KindInvalidDocument  Kind = "invalidDocument"
 	KindPending          Kind = "pending"
 	KindInternal         Kind = "internal"
+	KindNoRoute          Kind = "noRoute"
+	KindRequestTimeout   Kind = "requestTimeout"
+	KindBodyTooLarge     Kind = "bodyTooLarge"
+	KindHeaderTooLarge   Kind = "headerTooLarge"
+	KindBadAnswer        Kind = "badAnswer"
+	KindLeaving          Kind = "leaving"
 )
 
 // Answer is the row of the answer table for one kind.
@@ -76,6 +82,12 @@
 	KindInvalidDocument:  {http.StatusUnprocessableEntity, OutcomeNotRun, 0},
 	KindPending:          {http.StatusAccepted, OutcomeUnknown, 2 * time.Second},
 	KindInternal:         {http.StatusInternalServerError, OutcomeUnknown, time.Second},
+	KindNoRoute:          {http.StatusNotFound, OutcomeNotRun, 0},
+	KindRequestTimeout:   {http.StatusRequestTimeout, OutcomeNotRun, 0},
+	KindBodyTooLarge:     {http.StatusRequestEntityTooLarge, OutcomeNotRun, 0},
+	KindHeaderTooLarge:   {http.StatusRequestHeaderFieldsTooLarge, OutcomeNotRun, 0},
+	KindBadAnswer:        {http.StatusBadGateway, OutcomeUnknown, time.Second},
+	KindLeaving:          {http.StatusServiceUnavailable, OutcomeNotRun, 100 * time.Millisecond},
 }
 
 // Kinds returns every kind of the closed list, in no order.
--- /dev/null
+++ b/route.go
@@ -0,0 +1,155 @@
+package magnolialedge
+
+import "time"
+
+// RouteKind tells what may be repeated of the requests on a route.
+type RouteKind string
+
+const (
+	// RouteSafe requests may run more than once.
+	RouteSafe RouteKind = "safe"
+	// RouteNonIdempotent requests run at most once.
+	RouteNonIdempotent RouteKind = "nonIdempotent"
+	// RouteUpload requests have large bodies and run at most once.
+	RouteUpload RouteKind = "upload"
+)
+
+// Repeatable reports whether a request on such a route may run more than once.
+func (k RouteKind) Repeatable() bool {
+	return k == RouteSafe
+}
+
+// SplitPart is one service of a route and its share of the requests.
+type SplitPart struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Route tells where the requests of a host and path prefix go.
+type Route struct {
+	Name   string    `json:"name"`
+	Host   string    `json:"host"`
+	Prefix string    `json:"prefix"`
+	Kind   RouteKind `json:"kind"`
+	// TimeoutMs is the longest time that a request is kept waiting; 0 is none.
+	TimeoutMs int64 `json:"timeoutMs"`
+	// AimMs is the time within which an answer is of full use to its caller.
+	AimMs int64 `json:"aimMs"`
+	// Priority is the rank of the requests, 0 the highest.
+	Priority int `json:"priority"`
+	// Attempts is the greatest number of upstreams that one request may reach.
+	Attempts int `json:"attempts"`
+	// Split holds the services that share the requests.
+	Split []SplitPart `json:"split"`
+}
+
+// Timeout returns the route's timeout, or 0 for none.
+func (r Route) Timeout() time.Duration {
+	return time.Duration(r.TimeoutMs) * time.Millisecond
+}
+
+// Aim returns the route's aim.
+func (r Route) Aim() time.Duration {
+	return time.Duration(r.AimMs) * time.Millisecond
+}
+
+// RoutedService is a service whose upstreams register themselves.
+type RoutedService struct {
+	Name string `json:"name"`
+	// HealthPath answers with the upstream's id and load.
+	HealthPath string `json:"healthPath"`
+	// MaxConnections bounds the connections to one upstream from all entries.
+	MaxConnections int `json:"maxConnections"`
+}
+
+// CallerLimits bounds what callers may send. Zero values set no bound.
+type CallerLimits struct {
+	MaxHeaderBytes  int   `json:"maxHeaderBytes"`
+	MaxBodyBytes    int64 `json:"maxBodyBytes"`
+	HeaderTimeoutMs int64 `json:"headerTimeoutMs"`
+	IdleTimeoutMs   int64 `json:"idleTimeoutMs"`
+}
+
+// HeaderTimeout bounds the reading of a request's head.
+func (l CallerLimits) HeaderTimeout() time.Duration {
+	return time.Duration(l.HeaderTimeoutMs) * time.Millisecond
+}
+
+// IdleTimeout bounds the time between two requests of a connection.
+func (l CallerLimits) IdleTimeout() time.Duration {
+	return time.Duration(l.IdleTimeoutMs) * time.Millisecond
+}
+
+// Routing is a version of the routes with all that belongs to them.
+type Routing struct {
+	// Version orders the versions; a higher one replaces a lower one.
+	Version  int64           `json:"version"`
+	Routes   []Route         `json:"routes"`
+	Services []RoutedService `json:"services"`
+	Limits   CallerLimits    `json:"limits"`
+}
+
+// Registration is what an upstream says of itself.
+type Registration struct {
+	// ID names one start of the upstream, mostly.
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Release  string
+	Slots    int
+	Draining bool
+	// ColdFor is how much longer the upstream is slow after its start.
+	ColdFor time.Duration
+	// Born is the start of the upstream in Unix milliseconds, or 0.
+	Born int64
+}
+
+// Reading is what an upstream tells of its load at one moment.
+type Reading struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Slowness is how many times as long as usual work takes at present, or 0
+	// when the upstream doesn't tell.
+	Slowness float64
+}
+
+// Fact is what one item of the platform's store says, decoded.
+type Fact struct {
+	// Routing is a version of the routes.
+	Routing *Routing
+	// Upstream is a registered upstream.
+	Upstream *Registration
+	// Removed is the id of an upstream that is no longer registered, or whose
+	// entry can't be used.
+	Removed string
+}
+
+// FactDecoder reads the items that operators and upstreams write.
+type FactDecoder interface {
+	// Prefixes returns the prefixes of the keys to follow.
+	Prefixes() []string
+	// Decode reads an item; the fact may be useful also beside an error.
+	Decode(Item) (Fact, error)
+}
+
+// Dialect names the headers between callers, entries and upstreams.
+type Dialect struct {
+	// RequestID names one attempt of a caller, and is echoed by upstreams.
+	RequestID string
+	// Deadline is the time left, in milliseconds.
+	Deadline string
+	// ExpectedInstance names the upstream that alone may run the request.
+	ExpectedInstance string
+	// Instance names the upstream that answers a health request.
+	Instance string
+	// Signature comes with each answer that an upstream made by its service.
+	Signature string
+	// Load carries a Reading.
+	Load string
+	// NotRun marks answers to requests that the upstream did not run.
+	NotRun string
+	// ParseLoad reads the value of Load.
+	ParseLoad func(string) (Reading, bool)
+}
