Don't let a peer that was cut off bring a leaving upstream back

Ruled out: a late watch (the removal was in force at all entries in touch 28 ms after it) and the hold itself (the reader had not lost the store). Change: a put that is older than what is known, for a key that is not, is a key that was removed; only the store's own list is believed about such. Peers pass on only what the store last listed, and an entry that goes over from a peer to the store lists it first. Conclusion: TestPeerThatWasCutOffBringsNothingBack holds the case.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -17,6 +17,17 @@
 	holdTime = 2200 * time.Millisecond
 )
 
+// Origin tells where a list of items comes from.
+type Origin int
+
+const (
+	// FromStore lists hold what the store has.
+	FromStore Origin = iota
+	// FromPeer lists hold what another entry believes. They may hold items that
+	// are known here to be gone.
+	FromPeer
+)
+
 // Mirror holds the items of a store as far as they are known. It isn't safe for
 // concurrent use.
 type Mirror struct {
@@ -49,6 +60,17 @@
 	return out
 }
 
+// Certain returns the items that the store still listed when it last answered.
+func (m *Mirror) Certain() []magnolialedge.Item {
+	out := make([]magnolialedge.Item, 0, len(m.items))
+	for key, it := range m.items {
+		if _, held := m.held[key]; !held {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
 // Failed records that the store gave no useful answer.
 func (m *Mirror) Failed(now time.Time) {
 	if m.failingSince.IsZero() {
@@ -72,7 +94,7 @@
 
 // Snapshot takes the whole list of items as of revision and returns what has
 // changed. A snapshot older than what is known changes nothing.
-func (m *Mirror) Snapshot(now time.Time, items []magnolialedge.Item, revision int64) []magnolialedge.Item {
+func (m *Mirror) Snapshot(now time.Time, from Origin, items []magnolialedge.Item, revision int64) []magnolialedge.Item {
 	if revision < m.revision {
 		return nil
 	}
@@ -80,6 +102,9 @@
 	var out []magnolialedge.Item
 	for _, it := range items {
 		listed[it.Key] = true
+		if from == FromPeer && m.isGone(it) {
+			continue
+		}
 		out = m.put(out, it)
 	}
 	for key, it := range m.items {
@@ -95,9 +120,10 @@
 func (m *Mirror) Apply(now time.Time, changes []magnolialedge.Item, revision int64) []magnolialedge.Item {
 	var out []magnolialedge.Item
 	for _, c := range changes {
-		if c.Deleted {
+		switch {
+		case c.Deleted:
 			out = m.remove(out, now, c)
-		} else {
+		case !m.isGone(c):
 			out = m.put(out, c)
 		}
 	}
@@ -129,6 +155,12 @@
 	return m.Away(now) || (!m.backAt.IsZero() && now.Sub(m.backAt) < holdTime)
 }
 
+// isGone reports whether an item was removed later than it was written.
+func (m *Mirror) isGone(it magnolialedge.Item) bool {
+	_, known := m.items[it.Key]
+	return !known && it.Revision <= m.revision
+}
+
 func (m *Mirror) put(out []magnolialedge.Item, it magnolialedge.Item) []magnolialedge.Item {
 	old, known := m.items[it.Key]
 	if held, ok := m.held[it.Key]; ok && it.Revision > held.Revision {
--- /dev/null
+++ b/core/mirror/mirror_test.go
@@ -0,0 +1,93 @@
+package mirror
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"magnolialedge"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time {
+	return start.Add(time.Duration(ms) * time.Millisecond)
+}
+
+func item(key string, revision int64) magnolialedge.Item {
+	return magnolialedge.Item{Key: key, Revision: revision}
+}
+
+func removed(key string, revision int64) magnolialedge.Item {
+	return magnolialedge.Item{Key: key, Revision: revision, Deleted: true}
+}
+
+func keys(m *Mirror) []string {
+	var out []string
+	for _, it := range m.Items() {
+		out = append(out, it.Key)
+	}
+	return out
+}
+
+func TestRemovalIsBelievedAtOnceWhileTheStoreAnswers(t *testing.T) {
+	m := New()
+	m.Snapshot(at(0), FromStore, []magnolialedge.Item{item("a", 3), item("b", 4)}, 10)
+	require.Equal(t, []magnolialedge.Item{removed("a", 11)}, m.Apply(at(100), []magnolialedge.Item{removed("a", 11)}, 11))
+	require.Equal(t, []string{"b"}, keys(m))
+}
+
+// A peer that was cut off for a while still holds items that others know to be
+// gone. What it lists doesn't bring them back.
+func TestPeerThatWasCutOffBringsNothingBack(t *testing.T) {
+	m := New()
+	m.Snapshot(at(0), FromStore, []magnolialedge.Item{item("a", 3), item("b", 4)}, 10)
+	m.Apply(at(100), []magnolialedge.Item{removed("a", 11)}, 11)
+	require.Empty(t, m.Snapshot(at(200), FromPeer, []magnolialedge.Item{item("a", 3), item("b", 4)}, 12))
+	require.Equal(t, []string{"b"}, keys(m))
+	require.Empty(t, m.Apply(at(300), []magnolialedge.Item{item("a", 3)}, 13))
+	require.Equal(t, []string{"b"}, keys(m))
+}
+
+func TestPeerTellsOfNewItems(t *testing.T) {
+	m := New()
+	m.Snapshot(at(0), FromStore, []magnolialedge.Item{item("a", 3)}, 10)
+	require.Equal(t, []magnolialedge.Item{item("c", 12)}, m.Snapshot(at(200), FromPeer, []magnolialedge.Item{item("a", 3), item("c", 12)}, 12))
+}
+
+func TestStoreIsBelievedAboutItemsOfOldRevisions(t *testing.T) {
+	m := New()
+	m.Snapshot(at(0), FromStore, nil, 10)
+	require.Len(t, m.Snapshot(at(100), FromStore, []magnolialedge.Item{item("a", 3)}, 10), 1)
+}
+
+func TestItemThatLapsedInAnOutageIsHeldUntilItsWriterIsBack(t *testing.T) {
+	m := New()
+	m.Snapshot(at(0), FromStore, []magnolialedge.Item{item("a", 3), item("b", 4)}, 10)
+	m.Failed(at(1000))
+	require.True(t, m.Away(at(3000)))
+	m.Reached(at(5000))
+	require.Empty(t, m.Snapshot(at(5000), FromStore, nil, 20))
+	require.Equal(t, 2, m.Held())
+	require.Empty(t, m.Certain(), "held items aren't passed on to peers")
+	require.Empty(t, m.Tick(at(6000)))
+	require.Equal(t, []magnolialedge.Item{item("a", 21)}, m.Apply(at(6000), []magnolialedge.Item{item("a", 21)}, 21))
+	require.Equal(t, []magnolialedge.Item{removed("b", 20)}, m.Tick(at(7300)))
+	require.Equal(t, []string{"a"}, keys(m))
+}
+
+func TestOneFailedCallIsNoOutage(t *testing.T) {
+	m := New()
+	m.Snapshot(at(0), FromStore, []magnolialedge.Item{item("a", 3)}, 10)
+	m.Failed(at(1000))
+	m.Reached(at(1400))
+	require.Len(t, m.Apply(at(1400), []magnolialedge.Item{removed("a", 11)}, 11), 1)
+}
+
+func TestOlderSnapshotChangesNothing(t *testing.T) {
+	m := New()
+	m.Snapshot(at(0), FromStore, []magnolialedge.Item{item("a", 9)}, 10)
+	require.Empty(t, m.Snapshot(at(100), FromPeer, []magnolialedge.Item{item("a", 3), item("b", 2)}, 8))
+	require.EqualValues(t, 10, m.Revision())
+}
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -68,7 +68,11 @@
 			f.watch(ctx)
 			continue
 		}
-		if !f.followAny(ctx, sources) {
+		served := f.followAny(ctx, sources)
+		// A peer may have held back removals that came before the revision that
+		// it told, so the store's changes after it aren't enough.
+		f.setListed(false)
+		if !served {
 			f.watchFor(ctx, fallbackTime)
 		}
 	}
@@ -151,7 +155,7 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	f.take(message{Snapshot: true, Items: items, Revision: revision}, time.Now())
+	f.take(mirror.FromStore, message{Snapshot: true, Items: items, Revision: revision}, time.Now())
 	f.setListed(true)
 	return nil
 }
@@ -161,12 +165,12 @@
 	if err != nil {
 		return err
 	}
-	f.take(message{Items: page.Items, Revision: page.Revision}, time.Now())
+	f.take(mirror.FromStore, message{Items: page.Items, Revision: page.Revision}, time.Now())
 	return nil
 }
 
 // take brings news into the mirror and passes on what has an effect.
-func (f *Follower) take(m message, reached time.Time) {
+func (f *Follower) take(from mirror.Origin, m message, reached time.Time) {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -178,7 +182,7 @@
 	}
 	var effective []magnolialedge.Item
 	if m.Snapshot {
-		effective = f.mirror.Snapshot(now, m.Items, m.Revision)
+		effective = f.mirror.Snapshot(now, from, m.Items, m.Revision)
 	} else {
 		effective = f.mirror.Apply(now, m.Items, m.Revision)
 	}
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
+	"magnolialedge/core/mirror"
 	"magnolialedge/io/event"
 )
 
@@ -84,7 +85,7 @@
 		if age > mostStreamAge {
 			return errStale
 		}
-		f.take(m, time.Now().Add(-age))
+		f.take(mirror.FromPeer, m, time.Now().Add(-age))
 	}
 	return errors.Wrap(lines.Err(), "stream ended")
 }
@@ -110,7 +111,7 @@
 	defer f.mu.Unlock()
 	sub := make(chan message, subscriberRoom)
 	f.subs[sub] = struct{}{}
-	return message{Snapshot: true, Items: f.mirror.Items(), Revision: f.mirror.Revision()}, sub
+	return message{Snapshot: true, Items: f.mirror.Certain(), Revision: f.mirror.Revision()}, sub
 }
 
 func (f *Follower) unsubscribe(sub chan message) {
