Ask also the candidate that turns out best for its load

Change: up to three rounds of asking until the best candidate's reading is fresh; upstreams of other regions are asked too.

--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -154,6 +154,22 @@
 	Local bool
 }
 
+const (
+	// staleReading is the age from which a reading is taken anew before a
+	// request is sent, and staleRemoteReading that of upstreams in other
+	// regions, where a reading is old when it arrives.
+	staleReading       = 25 * time.Millisecond
+	staleRemoteReading = 60 * time.Millisecond
+)
+
+// IsFresh reports whether the reading is young enough to send a request by.
+func (c Candidate) IsFresh(now time.Time) bool {
+	if c.Local {
+		return now.Sub(c.ReadAt) < staleReading
+	}
+	return now.Sub(c.ReadAt) < staleRemoteReading
+}
+
 // Candidates returns upstreams with room for a request, the best first, and
 // whether the service has any upstream that is fit for it.
 func (f *Fleet) Candidates(now time.Time, n Need, most int) ([]Candidate, bool) {
@@ -343,11 +359,11 @@
 	return first
 }
 
-// Stale returns upstreams in the region whose last reading is older than age.
-func (f *Fleet) Stale(now time.Time, service string, age time.Duration, most int) []magnolialedge.Registration {
+// Stale returns upstreams in the region whose last reading is old.
+func (f *Fleet) Stale(now time.Time, service string, most int) []magnolialedge.Registration {
 	var out []magnolialedge.Registration
 	for _, u := range f.byService[service] {
-		if u.distance != otherRegion && u.isUsable(now) && now.Sub(u.readAt) > age {
+		if u.distance != otherRegion && u.isUsable(now) && now.Sub(u.readAt) > staleReading {
 			out = append(out, u.Registration)
 		}
 	}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -170,35 +170,63 @@
 }
 
 // choose asks the candidates for their load, counts the request at the best one
-// and returns it with a connection, or nil when none is left.
+// and returns it with a connection, or nil when none is left. The best one by
+// then may be one that wasn't asked; a few such rounds are made.
 func (x *exchange) choose(ctx context.Context, found []pick.Candidate) *placement {
-	f := x.f
-	conns := f.probe(ctx, found, x.match.Service.HealthPath)
-	f.mu.Lock()
-	now, _ := f.fleet.Candidates(time.Now(), x.need, mostCandidates)
-	var best *pick.Candidate
-	if len(now) > 0 {
-		best = &now[0]
-		f.fleet.Begin(best.ID)
-	}
-	f.mu.Unlock()
-	for id, c := range conns {
-		if best == nil || id != best.ID {
-			f.cfg.Pool.Put(c)
+	conns := map[string]*link.Conn{}
+	defer x.f.putAll(conns)
+	for round := 1; ; round++ {
+		x.f.probe(ctx, found, x.match.Service.HealthPath, conns)
+		best, again := x.begin(round == mostRounds)
+		if again != nil {
+			found = again
+			continue
 		}
+		if best == nil {
+			return nil
+		}
+		p := &placement{Candidate: *best, conn: conns[best.ID]}
+		delete(conns, best.ID)
+		return x.connected(ctx, p)
 	}
-	if best == nil {
-		return nil
+}
+
+// mostRounds bounds how often candidates are asked for one attempt.
+const mostRounds = 3
+
+// begin counts the request at the best candidate if its reading is fresh, or in
+// any case in the last round; else it returns the candidates to ask.
+func (x *exchange) begin(last bool) (*pick.Candidate, []pick.Candidate) {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	now := time.Now()
+	found, _ := x.f.fleet.Candidates(now, x.need, mostCandidates)
+	if len(found) == 0 {
+		return nil, nil
+	}
+	if !last && !found[0].IsFresh(now) {
+		return nil, found
 	}
-	p := &placement{Candidate: *best, conn: conns[best.ID]}
+	x.f.fleet.Begin(found[0].ID)
+	return &found[0], nil
+}
+
+func (f *Forwarder) putAll(conns map[string]*link.Conn) {
+	for _, c := range conns {
+		f.cfg.Pool.Put(c)
+	}
+}
+
+// connected gives a placement a connection, or ends it.
+func (x *exchange) connected(ctx context.Context, p *placement) *placement {
 	if p.conn != nil {
 		return p
 	}
-	c, err := f.connect(ctx, best.Registration, !x.need.Repeatable, x.match.Service.HealthPath)
+	c, err := x.f.connect(ctx, p.Registration, !x.need.Repeatable, x.match.Service.HealthPath)
 	if err != nil {
 		x.note(p, "unreached", 0)
-		f.end(p, x.need, 0, pick.EndedUnreached)
-		f.unreachable(best.Registration, err)
+		x.f.end(p, x.need, 0, pick.EndedUnreached)
+		x.f.unreachable(p.Registration, err)
 		return nil
 	}
 	p.conn = c
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// staleReading is the age from which a reading is taken anew before a
-	// request is sent.
-	staleReading = 25 * time.Millisecond
 	// readingWait is how long a request waits for readings beyond the trip.
 	readingWait = 8 * time.Millisecond
 	// readingTimeout is how long an upstream may take to answer with its load
@@ -33,14 +30,15 @@
 	conn *link.Conn
 }
 
-// probe asks candidates for their load and returns connections to those that
-// have answered. The others are left to answer later.
-func (f *Forwarder) probe(ctx context.Context, found []pick.Candidate, health string) map[string]*link.Conn {
+// probe asks candidates for their load and adds the connections to those that
+// have answered to conns. The others are left to answer later.
+func (f *Forwarder) probe(ctx context.Context, found []pick.Candidate, health string, conns map[string]*link.Conn) {
 	results := make(chan probed, len(found))
 	asked := 0
 	longest := time.Duration(0)
+	now := time.Now()
 	for _, c := range found {
-		if !c.Local || time.Since(c.ReadAt) < staleReading {
+		if c.IsFresh(now) || conns[c.ID] != nil {
 			continue
 		}
 		asked++
@@ -49,7 +47,6 @@
 			results <- probed{id: c.ID, conn: f.ask(c.Registration, c.Trip, health)}
 		}()
 	}
-	conns := make(map[string]*link.Conn, asked)
 	timer := time.NewTimer(longest + readingWait)
 	defer timer.Stop()
 	for got := 0; got < asked; got++ {
@@ -60,13 +57,12 @@
 			}
 		case <-timer.C:
 			go f.collect(results, asked-got)
-			return conns
+			return
 		case <-ctx.Done():
 			go f.collect(results, asked-got)
-			return conns
+			return
 		}
 	}
-	return conns
 }
 
 // collect gives back the connections of late answers.
@@ -89,8 +85,7 @@
 func (f *Forwarder) ask(r magnolialedge.Registration, trip time.Duration, health string) *link.Conn {
 	ctx, cancel := context.WithTimeout(context.Background(), readingTimeout+2*trip)
 	defer cancel()
-	c, pooled := f.cfg.Pool.Take(r.ID)
-	if pooled {
+	if c, ok := f.cfg.Pool.Take(r.ID); ok {
 		err := f.reading(ctx, c, health)
 		if err == nil {
 			return c
--- a/io/serve/queue.go
+++ b/io/serve/queue.go
@@ -73,7 +73,7 @@
 			f.mu.Unlock()
 			return
 		}
-		stale := f.fleet.Stale(time.Now(), service, staleReading, mostPolled)
+		stale := f.fleet.Stale(time.Now(), service, mostPolled)
 		health := q.health
 		f.mu.Unlock()
 		for _, r := range stale {
