Keep large bodies in their region while it can serve them

The price of bytes only ordered the candidates; with no room in the region the only candidate left was far, so uploads of 60 kB went there, and took the room of requests that would have gained by it. Change: the price counts as time in the question whether a far upstream is worth it, as long as one in the region is fit for the request. TestLargeBodyStaysInARegionThatCanServeItLater.

--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -160,6 +160,7 @@
 	FillsUp bool
 	// Local tells that the upstream is in the entry's region.
 	Local bool
+	price time.Duration
 }
 
 const (
@@ -207,15 +208,30 @@
 
 // isWorthwhile reports whether a request should go to a candidate now. While it
 // can still make its aim elsewhere it isn't spent on a slow upstream, and it
-// isn't sent where it can't end before its deadline.
+// isn't sent where it can't end before its deadline. The price of bytes counts
+// as time, so that a large body doesn't leave its region for want of room there.
 func (f *Fleet) isWorthwhile(now time.Time, n Need, c Candidate) bool {
 	ends := now.Add(c.Work + c.Trip)
+	if !c.Local && f.hasLocal(now, n) {
+		ends = ends.Add(c.price)
+	}
 	if f.canMakeAim(now, n) {
 		return !ends.After(n.Aim)
 	}
 	return ends.Before(n.Deadline)
 }
 
+// hasLocal reports whether the request could be served in the entry's region,
+// now or when there is room.
+func (f *Fleet) hasLocal(now time.Time, n Need) bool {
+	for _, u := range f.byService[n.Service] {
+		if u.distance != otherRegion && u.isUsable(now) && !slices.Contains(n.Tried, u.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Fleet) crowdingOf(service string) float64 {
 	if c, ok := f.crowding[service]; ok {
 		return c
@@ -237,6 +253,7 @@
 		Load:         u.load(now),
 		Local:        u.distance != otherRegion,
 		FillsUp:      u.fillsUp(now),
+		price:        time.Duration(f.price(u, n)),
 	}
 	c.Cost = time.Duration(f.cost(now, u, n, work))
 	return c
--- a/core/pick/fleet_test.go
+++ b/core/pick/fleet_test.go
@@ -184,3 +184,20 @@
 	found, _ := f.Candidates(at(2), n, 2)
 	require.Equal(t, []string{"good", "bad"}, ids(found))
 }
+
+// Pattern: a region is short of room for a moment. Small requests leave it; a
+// body of 60 kB waits, since its bytes between regions cost more than the wait.
+func TestLargeBodyStaysInARegionThatCanServeItLater(t *testing.T) {
+	f := newTestFleet()
+	f.Register(at(0), registration("far", "west-a", 4))
+	f.Register(at(0), registration("here", "east-a", 1))
+	f.Begin("here")
+	upload := need(at(0))
+	upload.Bytes = 60_000
+	found, fit := f.Candidates(at(0), upload, 3)
+	require.True(t, fit)
+	require.Empty(t, found)
+	f.Remove("here")
+	found, _ = f.Candidates(at(0), upload, 3)
+	require.Equal(t, []string{"far"}, ids(found))
+}
