Make a second attempt when an upstream turns slow under a request

Change: requests that may be repeated are watched by readings of their upstream; when what is left there takes much longer than elsewhere, a second attempt is made, within the retry budget, never for the last slot and never while requests wait for room.

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -32,6 +32,7 @@
 	UpstreamCrashed     = Event{3104, "upstreamCrashed", Warning, "An upstream was gone after it had lost a request; the request's fingerprint is counted."}
 	UpstreamRegistered  = Event{3105, "upstreamRegistered", Info, "An upstream registered itself or changed its entry."}
 	UpstreamRemoved     = Event{3106, "upstreamRemoved", Info, "An upstream is registered no more, or its entry can't be used."}
+	SecondAttempt       = Event{3107, "secondAttempt", Info, "A request was sent to a second upstream because its first one had turned slow or gave no answer."}
 	KeyTableFull        = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver          = Event{4002, "handedOver", Info, "The key table was handed to a peer."}
 	HandoverFailed      = Event{4003, "handoverFailed", Failure, "No peer took the key table; resends of its keys end as unknown."}
@@ -51,7 +52,7 @@
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
-		UpstreamRegistered, UpstreamRemoved, KeyTableFull, HandedOver,
+		UpstreamRegistered, UpstreamRemoved, SecondAttempt, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -14,25 +14,30 @@
 	"magnolialedge/io/link"
 )
 
+// statusFailed is the least status of an answer that tells of a failure of the
+// upstream.
+const statusFailed = http.StatusInternalServerError
+
 // result is how one attempt ended.
 type result struct {
 	answer *link.Answer
 	// notRun tells that the request was certainly not run.
 	notRun bool
 	// bad tells that the answer can't be passed on as a success.
-	bad bool
+	bad   bool
+	story attemptStory
 	// reached tells that the request may have reached the upstream.
 	reached bool
 	err     error
 }
 
-// attempt sends the request to an upstream.
+// attempt sends the request to an upstream and tells the decisions how it ended.
 func (x *exchange) attempt(ctx context.Context, p *placement) result {
 	begun := time.Now()
 	answer, sent, err := p.conn.Exchange(ctx, x.request())
 	took := time.Since(begun)
 	r := x.judge(answer, sent, err)
-	x.learn(ctx, p, r, took)
+	r.story = x.learn(ctx, p, r, took)
 	x.f.cfg.Pool.Put(p.conn)
 	return r
 }
@@ -63,20 +68,21 @@
 }
 
 // learn tells the decisions how the attempt ended.
-func (x *exchange) learn(ctx context.Context, p *placement, r result, took time.Duration) {
+func (x *exchange) learn(ctx context.Context, p *placement, r result, took time.Duration) attemptStory {
 	end, name := x.ending(ctx, r, p, took)
 	if r.answer != nil && r.answer.HasLoad {
 		x.f.mu.Lock()
 		x.f.fleet.Read(time.Now(), p.ID, r.answer.Reading)
 		x.f.mu.Unlock()
 	}
-	x.note(p, name, took)
+	story := x.tell(p, name, took)
 	x.f.end(p, x.need, took, end)
 	if r.err != nil && r.reached && ctx.Err() == nil {
 		x.f.cfg.Pool.Drop(p.ID)
 		x.f.cfg.Log.Log(event.UpstreamLost, "service", x.need.Service, "upstream", p.ID, "requestId", x.id, "err", r.err)
 		go x.f.suspect(p.Registration, x.print, x.match.Service.HealthPath)
 	}
+	return story
 }
 
 // silentFactor is the multiple of the expected time of work after which an
@@ -99,7 +105,7 @@
 		return pick.EndedRefused, "refused"
 	case r.bad:
 		return pick.EndedFailed, "bad"
-	case r.answer.Status >= http.StatusInternalServerError:
+	case r.answer.Status >= statusFailed:
 		return pick.EndedFailed, "failed"
 	}
 	return pick.EndedWell, "answered"
@@ -108,19 +114,11 @@
 // settle returns the request's answer, or nil when another attempt is to be
 // made.
 func (x *exchange) settle(ctx context.Context, r result) *front.Answer {
-	if r.reached {
-		x.reached++
-	}
-	if !r.notRun {
-		x.unsure = true
-	}
-	good := r.err == nil && !r.notRun && !r.bad
-	if good && (r.answer.Status < http.StatusInternalServerError || !x.need.Repeatable) {
+	whole := r.err == nil && !r.notRun && !r.bad
+	if r.isGood() || (whole && !x.need.Repeatable) {
 		return x.pass(r.answer)
 	}
-	if good {
-		x.spare = r.answer
-	}
+	x.setAside(r)
 	if ctx.Err() == nil && x.mayTryAgain(r) {
 		x.need.Tried = x.triedIDs()
 		return nil
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -123,7 +123,7 @@
 		if p == nil {
 			return x.giveUp(ctx, kind)
 		}
-		r := x.attempt(ctx, p)
+		r := x.attempts(ctx, p)
 		if a := x.settle(ctx, r); a != nil {
 			return a
 		}
@@ -211,7 +211,7 @@
 func (x *exchange) connected(ctx context.Context, p *placement) *placement {
 	c, err := x.f.connect(ctx, p.Registration, !x.need.Repeatable, x.match.Service.HealthPath)
 	if err != nil {
-		x.note(p, "unreached", 0)
+		x.story = append(x.story, x.tell(p, "unreached", 0))
 		x.f.end(p, x.need, 0, pick.EndedUnreached)
 		x.f.unreachable(p.Registration, err)
 		return nil
@@ -227,13 +227,14 @@
 	f.runQueue(n.Service)
 }
 
-func (x *exchange) note(p *placement, end string, took time.Duration) {
+// tell counts the end of an attempt and returns what the log line tells of it.
+func (x *exchange) tell(p *placement, end string, took time.Duration) attemptStory {
 	age := time.Duration(-1)
 	if !p.ReadAt.IsZero() {
 		age = time.Since(p.ReadAt) - took
 	}
-	x.story = append(x.story, attemptStory{upstream: p.ID, end: end, took: took, readAge: age, slowness: p.Slowness, load: p.Load})
 	x.f.cfg.Metrics.Attempts.WithLabelValues(x.need.Service, end).Inc()
+	return attemptStory{upstream: p.ID, end: end, took: took, readAge: age, slowness: p.Slowness, load: p.Load}
 }
 
 // giveUp answers a request for which no upstream is to be had.
