Let one entry of a region watch the store

Change: the first entry of a region watches; the second follows it, and goes to the store when it fails; the others take changes from the first, else from the second, else watch themselves.

--- a/io/node/members.go
+++ b/io/node/members.go
@@ -18,9 +18,10 @@
 const (
 	// membersPrefix begins the keys under which entries announce themselves.
 	membersPrefix = "members/"
-	// watchersPerRegion is the number of entries of a region that watch the
-	// store for the others.
-	watchersPerRegion = 2
+	// sourcesPerRegion is the number of entries of a region that the others
+	// take changes from. The first watches the store; the second follows the
+	// first until that fails.
+	sourcesPerRegion = 2
 )
 
 // members is the list of live entries.
@@ -98,11 +99,10 @@
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	var out []string
-	for i, in := range live[:min(watchersPerRegion, len(live))] {
+	for _, in := range live[:min(sourcesPerRegion, len(live))] {
 		if in.Name == m.self.Name {
-			return out[:0:0]
+			break
 		}
-		_ = i
 		out = append(out, in.Peers)
 	}
 	return out
--- /dev/null
+++ b/io/node/members_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"magnolialedge"
+)
+
+func member(name, region string) magnolialedge.Instance {
+	return magnolialedge.Instance{Name: name, Region: region, Callers: name + ":1", Peers: name + ":2"}
+}
+
+func announced(t *testing.T, in magnolialedge.Instance) magnolialedge.Item {
+	t.Helper()
+	value, err := json.Marshal(in)
+	require.NoError(t, err)
+	return magnolialedge.Item{Key: membersPrefix + in.Name, Value: value, Revision: 1}
+}
+
+// fleetOf returns the view that each of the named entries of a region has.
+func fleetOf(t *testing.T, region string, names ...string) map[string]*members {
+	t.Helper()
+	views := map[string]*members{}
+	for _, self := range names {
+		m := newMembers(member(self, region))
+		for _, other := range names {
+			m.take(announced(t, member(other, region)))
+		}
+		m.take(announced(t, member("elsewhere", "west")))
+		views[self] = m
+	}
+	return views
+}
+
+func TestOneEntryOfARegionWatchesAndTheOthersFollowIt(t *testing.T) {
+	views := fleetOf(t, "east", "a", "b", "c", "d")
+	watchers, seconds := 0, 0
+	first := ""
+	for _, m := range views {
+		switch sources := m.sources(); len(sources) {
+		case 0:
+			watchers++
+		case 1:
+			seconds++
+			first = sources[0]
+		default:
+			require.Len(t, sources, 2)
+		}
+	}
+	require.Equal(t, 1, watchers)
+	require.Equal(t, 1, seconds)
+	for _, m := range views {
+		if sources := m.sources(); len(sources) > 0 {
+			require.Equal(t, first, sources[0])
+		}
+	}
+}
+
+func TestLeavingEntryIsNeitherSourceNorAddress(t *testing.T) {
+	views := fleetOf(t, "east", "a", "b", "c")
+	m := views["a"]
+	before := m.addresses("shop.example", "east")
+	require.Len(t, before, 2)
+	for _, name := range []string{"b", "c"} {
+		left := member(name, "east")
+		left.Leaving = true
+		m.take(announced(t, left))
+	}
+	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", "east"))
+	require.Empty(t, m.sources())
+}
+
+func TestRegionWithoutEntriesIsServedByOthers(t *testing.T) {
+	views := fleetOf(t, "east", "a", "b")
+	require.NotEmpty(t, views["a"].addresses("shop.example", "north"))
+}
+
+func TestEntryWhoseListingLapsedStillNamesItself(t *testing.T) {
+	m := newMembers(member("a", "east"))
+	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", "east"))
+	m.setLeaving()
+	require.Empty(t, m.addresses("shop.example", "east"))
+}
+
+func TestUnreadableMemberIsLeftOut(t *testing.T) {
+	m := newMembers(member("a", "east"))
+	require.True(t, m.take(magnolialedge.Item{Key: membersPrefix + "b", Value: []byte("{"), Revision: 2}))
+	require.False(t, m.take(magnolialedge.Item{Key: "other/b", Revision: 2}))
+	require.Len(t, m.list(), 1)
+}
