Let the youngest wait least when room is short

Change: among waiters of one urgency that can make their aim the youngest goes first. TestYoungestGoesFirstAmongThoseInTime.

--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -107,7 +107,8 @@
 }
 
 // before orders waiters: the more urgent kind, then those who can still make
-// their aim, then the earlier aim.
+// their aim, then the youngest. When room is short, the first in line would get
+// it just too late one after the other; the youngest still have time.
 func before(now time.Time, a, b *Waiter, f *Fleet) bool {
 	if a.Need.Priority != b.Need.Priority {
 		return a.Need.Priority < b.Need.Priority
@@ -116,7 +117,11 @@
 	if inTimeA != inTimeB {
 		return inTimeA
 	}
-	return a.Need.Aim.Before(b.Need.Aim)
+	return a.Need.arrived().After(b.Need.arrived())
+}
+
+func (n Need) arrived() time.Time {
+	return n.Aim.Add(-n.AimLength)
 }
 
 func (f *Fleet) canMakeAim(now time.Time, n Need) bool {
--- a/core/pick/queue_test.go
+++ b/core/pick/queue_test.go
@@ -49,6 +49,18 @@
 	require.Equal(t, []string{"urgent", "inTime", "late"}, l.order)
 }
 
+// Pattern: an overload, in which each would get room just after its aim if the
+// oldest went first.
+func TestYoungestGoesFirstAmongThoseInTime(t *testing.T) {
+	f := fullFleet(1)
+	l := &line{woken: map[string]Verdict{}}
+	require.True(t, l.push(at(0), f, "old", need(at(-50))))
+	require.True(t, l.push(at(0), f, "young", need(at(0))))
+	f.End(at(5), End{ID: "a", Need: need(at(0)), Ended: EndedCancelled})
+	l.Run(at(5), f)
+	require.Equal(t, "young", l.order[0])
+}
+
 // Pattern: an overload. Who would wait in vain is told so at once.
 func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
 	f := fullFleet(1)
