--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -25,13 +25,14 @@
 )
 
 // probe asks candidates for their load, each at most once at a time for all
-// requests, and waits until they have answered or are late.
+// requests, and waits until they have answered or are late. Far ones are asked
+// only when the best one is far, since their answers take longer.
 func (f *Forwarder) probe(ctx context.Context, found []pick.Candidate, health string) {
 	var waits []<-chan struct{}
 	longest := time.Duration(0)
 	now := time.Now()
 	for _, c := range found {
-		if !c.IsFresh(now) {
+		if !c.IsFresh(now) && (c.Local || !found[0].Local) {
 			waits = append(waits, f.ask(c.Registration, c.Trip, health))
 			longest = max(longest, c.Trip)
 		}
