--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -345,8 +345,7 @@
 		u.result(now, true)
 		u.health.Fail(now, f.mayEject(now, u.Service))
 	case EndedRefused:
-		u.readAt = now
-		u.others = max(u.others, float64(u.Slots))
+		u.refused(now, e.FilledUp)
 	case EndedUnreached:
 		u.unreachable(now)
 	case EndedCancelled:
