--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -345,7 +345,8 @@
 		u.result(now, true)
 		u.health.Fail(now, f.mayEject(now, u.Service))
 	case EndedRefused:
-		u.refused(now, e.FilledUp)
+		u.readAt = now
+		u.others = max(u.others, float64(u.Slots))
 	case EndedUnreached:
 		u.unreachable(now)
 	case EndedCancelled:
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -147,17 +147,6 @@
 	u.reached()
 }
 
-// refused takes a refusal for lack of room. One that had free slots by all that
-// is known refuses for another reason, and goes on doing so.
-func (u *upstream) refused(now time.Time, filledUp bool) {
-	if !filledUp {
-		u.result(now, true)
-		return
-	}
-	u.readAt = now
-	u.others = max(u.others, float64(u.Slots))
-}
-
 func (u *upstream) reached() {
 	u.dark = 0
 	u.darkTill = time.Time{}
