--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -10,6 +10,7 @@
 	SettingsReloaded    = Event{1006, "settingsReloaded", Info, "Changed settings are in force."}
 	SettingsRejected    = Event{1007, "settingsRejected", Warning, "Changed settings can't work and were not taken."}
 	AnnounceFailed      = Event{1008, "announceFailed", Warning, "The entry could not be listed in the store."}
+	LinesDropped        = Event{1009, "linesDropped", Warning, "Log lines were left out to keep their volume bounded."}
 	VersionInForce      = Event{2001, "versionInForce", Info, "A configuration of a higher revision is in force."}
 	VersionRejected     = Event{2002, "versionRejected", Warning, "A configuration could not be read and was not taken."}
 	VersionAccepted     = Event{2003, "versionAccepted", Info, "A change was accepted here and offered to the relays."}
@@ -47,7 +48,7 @@
 	return []Event{
 		Started, Ready, Draining, Stopped,
 		StopForced, SettingsReloaded, SettingsRejected, AnnounceFailed,
-		VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
+		LinesDropped, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
--- /dev/null
+++ b/io/link/conn_test.go
@@ -0,0 +1,184 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"magnolialedge"
+)
+
+var testDialect = magnolialedge.Dialect{
+	RequestID:        "Request-Id",
+	Deadline:         "Deadline",
+	ExpectedInstance: "Expected",
+	Instance:         "Instance",
+	Signature:        "Signature",
+	Load:             "Load",
+	NotRun:           "Not-Run",
+	ParseLoad:        func(string) (magnolialedge.Reading, bool) { return magnolialedge.Reading{}, false },
+}
+
+// scripted returns a connection whose far end reads a request, writes text as it
+// stands, and then closes the connection or reads on.
+func scripted(t *testing.T, text string, closes bool) *Conn {
+	return scriptedThen(t, text, func(c net.Conn) {
+		if !closes {
+			_, _ = io.Copy(io.Discard, c)
+		}
+		_ = c.Close()
+	})
+}
+
+// scriptedThen is scripted with another end.
+func scriptedThen(t *testing.T, text string, then func(net.Conn)) *Conn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		buf := make([]byte, 64<<10)
+		if _, err := c.Read(buf); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+		then(c)
+	}()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = raw.Close() })
+	return newConn(raw, magnolialedge.Registration{ID: "u", Address: l.Addr().String()}, testDialect, time.Millisecond)
+}
+
+func exchange(c *Conn, r *Request) (*Answer, Sent, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	return c.Exchange(ctx, r)
+}
+
+func get() *Request {
+	return &Request{ID: "7", Method: http.MethodGet, Target: "/", Host: "h", Left: time.Second}
+}
+
+const own = "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"
+
+func TestAnswerIsReadAndItsConnectionKept(t *testing.T) {
+	c := scripted(t, own, false)
+	a, sent, err := exchange(c, get())
+	require.NoError(t, err)
+	require.True(t, sent.Written)
+	require.Equal(t, "ok", string(a.Body))
+	require.True(t, a.Signature)
+	require.True(t, c.isClean())
+}
+
+func TestAnswerToAnotherRequestIsReadPast(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nRequest-Id: 6\r\nSignature: s\r\nContent-Length: 3\r\n\r\nold"
+	c := scripted(t, late+own, false)
+	a, _, err := exchange(c, get())
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(a.Body))
+	require.False(t, c.isClean(), "a connection that carried a foreign answer isn't used again")
+}
+
+func TestBytesBehindAnAnswerSpoilTheConnection(t *testing.T) {
+	c := scripted(t, own+"more", false)
+	a, _, err := exchange(c, get())
+	require.NoError(t, err)
+	require.Equal(t, "ok", string(a.Body))
+	time.Sleep(20 * time.Millisecond)
+	require.False(t, c.isClean() && c.IsQuiet())
+}
+
+func TestInterimAnswersAreReadPast(t *testing.T) {
+	c := scripted(t, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+own, false)
+	a, _, err := exchange(c, get())
+	require.NoError(t, err)
+	require.Equal(t, 200, a.Status)
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	c := scripted(t, "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nSignature: s\r\n\r\nall of it", true)
+	a, _, err := exchange(c, get())
+	require.NoError(t, err)
+	require.Equal(t, "all of it", string(a.Body))
+	require.False(t, c.isClean())
+}
+
+func TestTruncatedAnswerIsAnError(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 20\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nConte",
+		"garbage",
+	} {
+		_, sent, err := exchange(scripted(t, text, true), get())
+		require.Error(t, err, text)
+		require.True(t, sent.Written)
+	}
+}
+
+func TestConnectionIsClosedWhenItsRequestIsGivenUp(t *testing.T) {
+	c := scripted(t, "", false)
+	begun := time.Now()
+	_, _, err := exchange(c, get())
+	require.Error(t, err)
+	require.Less(t, time.Since(begun), 700*time.Millisecond)
+	require.False(t, c.isClean())
+}
+
+func TestKeepAliveTimeIsHeeded(t *testing.T) {
+	c := scripted(t, "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n", false)
+	_, _, err := exchange(c, get())
+	require.NoError(t, err)
+	require.Equal(t, 2*time.Second-idleMargin, c.idleLife)
+}
+
+func TestConnectionThatItsUpstreamClosedIsNotTaken(t *testing.T) {
+	c := scripted(t, own, true)
+	_, _, err := exchange(c, get())
+	require.NoError(t, err)
+	p := NewPool(PoolConfig{Dialect: testDialect})
+	p.Put(c)
+	time.Sleep(20 * time.Millisecond)
+	_, ok := p.Take("u")
+	require.False(t, ok)
+}
+
+func TestHealthAnswerOfAnotherUpstreamIsToldApart(t *testing.T) {
+	c := scripted(t, "HTTP/1.1 200 OK\r\nInstance: v\r\nContent-Length: 0\r\n\r\n", false)
+	_, _, err := c.Health(context.Background(), "h", "/health")
+	require.ErrorIs(t, err, ErrOtherInstance)
+	c = scripted(t, "HTTP/1.1 200 OK\r\nRequest-Id: 5\r\nContent-Length: 0\r\n\r\n", false)
+	_, _, err = c.Health(context.Background(), "h", "/health")
+	require.ErrorIs(t, err, errNotHealth)
+}
+
+// An upstream may answer before it has read a long body. What is left of the
+// body mustn't be followed by another request.
+func TestEarlyAnswerToALongBodySpoilsTheConnection(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	early := "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	c := scriptedThen(t, early, func(net.Conn) { <-done })
+	r := get()
+	r.Method = http.MethodPost
+	r.Body = make([]byte, 32<<20)
+	r.HasBody = true
+	a, _, err := exchange(c, r)
+	require.NoError(t, err)
+	require.True(t, a.NotRun)
+	p := NewPool(PoolConfig{Dialect: testDialect})
+	p.Put(c)
+	_, ok := p.Take("u")
+	require.False(t, ok)
+}
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -88,7 +88,7 @@
 		c := conns[len(conns)-1]
 		conns = conns[:len(conns)-1]
 		p.idle[id] = conns
-		if now.Before(c.idleTill) {
+		if now.Before(c.idleTill) && c.IsQuiet() {
 			return c, true
 		}
 		c.Close()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -40,6 +40,7 @@
 	settings Settings
 	start    time.Time
 	log      event.Logger
+	backlog  *event.Backlog
 	registry *prometheus.Registry
 
 	members   *members
@@ -78,7 +79,8 @@
 	}
 	s := cfg.Settings
 	n := &Node{cfg: cfg, settings: s, start: time.Now(), registry: prometheus.NewRegistry()}
-	n.log = event.NewLogger(cfg.LogTo, s.Name)
+	n.backlog = event.NewBacklog(cfg.LogTo)
+	n.log = event.NewLogger(n.backlog, s.Name)
 	dialer := conn.NewDialer(conn.DialerConfig{})
 	n.pool = link.NewPool(link.PoolConfig{Dialer: dialer, Dialect: cfg.Dialect})
 	n.forwarder = serve.NewForwarder(serve.Config{
@@ -172,6 +174,8 @@
 		n.announce(announce)
 	}()
 	go n.tellReady(work)
+	go n.tellDropped(work)
+	defer n.backlog.Close()
 	for {
 		select {
 		case s := <-reload:
@@ -244,6 +248,18 @@
 	n.log.Log(event.Ready, "version", n.forwarder.Version(), "afterMs", time.Since(n.start).Milliseconds())
 }
 
+// droppedEvery is the time between two lines that tell how many were left out.
+const droppedEvery = time.Second
+
+func (n *Node) tellDropped(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, droppedEvery)
+		if lines := n.backlog.TakeDropped(); lines > 0 {
+			n.log.Log(event.LinesDropped, "lines", lines, "sinceStart", n.backlog.Dropped())
+		}
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
