Move the names of what callers ask an entry to the adapter

Cause: io/node knew the paths and fields of the platform's resolve and ready calls.

Change: platform.Surface serves them; the entry gives the answers.

--- a/cmd/magnolialedge/serve.go
+++ b/cmd/magnolialedge/serve.go
@@ -31,6 +31,7 @@
 		MetricsPort: c.MetricsPort,
 		Dialect:     platform.Dialect(),
 		Decoder:     platform.Decoder{},
+		Surface:     platform.Surface{},
 		NewStore:    newStore,
 		LogTo:       os.Stdout,
 	})
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -12,51 +12,25 @@
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"magnolialedge"
 	"magnolialedge/io/event"
 	"magnolialedge/io/mirror"
 )
 
-// Paths that the platform and callers use.
+// Paths that peers and operators use.
 const (
-	readyPath   = "/ready"
-	resolvePath = "/resolve"
 	lostPath    = "/v1/lost"
 	dumpPath    = "/v1/dump"
 	metricsPath = "/metrics"
 )
 
-func (n *Node) readyHandler() http.Handler {
-	e := echo.New()
-	e.GET(readyPath, func(c echo.Context) error {
-		if !n.isReady() {
-			return c.NoContent(http.StatusServiceUnavailable)
-		}
-		return c.NoContent(http.StatusOK)
-	})
-	return e
-}
-
-// resolved is the answer to a caller that asks which addresses to use.
-type resolved struct {
-	Addresses []string `json:"addresses"`
-	TTLSec    float64  `json:"ttl-s"`
-}
-
-func (n *Node) directoryHandler() http.Handler {
-	e := echo.New()
-	e.GET(resolvePath, func(c echo.Context) error {
-		region := c.QueryParam("region")
-		if region == "" {
-			region = n.settings.Regions[c.QueryParam("zone")]
-		}
-		out := resolved{Addresses: n.members.addresses(c.QueryParam("name"), region)}
-		out.TTLSec = min(resolveLife, max(time.Second, n.settings.ResolveLimit)).Seconds()
-		if len(out.Addresses) == 0 {
-			return c.NoContent(http.StatusServiceUnavailable)
-		}
-		return c.JSON(http.StatusOK, out)
-	})
-	return e
+// resolve names the entries that callers of a host should use.
+func (n *Node) resolve(q magnolialedge.ResolveQuery) magnolialedge.Resolution {
+	region := q.Region
+	if region == "" {
+		region = n.settings.Regions[q.Zone]
+	}
+	return magnolialedge.Resolution{Addresses: n.members.addresses(q.Host, region), Life: min(resolveLife, max(leastResolveLife, n.settings.ResolveLimit))}
 }
 
 // lostMessage tells that a request crashed upstreams.
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -108,5 +108,9 @@
 	return out
 }
 
-// resolveLife is how long a resolve answer may be kept.
-const resolveLife = 2 * time.Second
+const (
+	// resolveLife is how long a resolve answer may be kept, if the settings
+	// allow it, and leastResolveLife in any case.
+	resolveLife      = 2 * time.Second
+	leastResolveLife = time.Second
+)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -29,6 +29,7 @@
 	MetricsPort int
 	Dialect     magnolialedge.Dialect
 	Decoder     magnolialedge.FactDecoder
+	Surface     magnolialedge.Surface
 	// NewStore returns the client of the platform's store.
 	NewStore func(address string, transport *http.Transport, count func(call string)) magnolialedge.Keyspace
 	LogTo    io.Writer
@@ -209,8 +210,8 @@
 	n.listeners = append(n.listeners, callers)
 	go func() { _ = n.callers.Serve(callers) }()
 	handlers := map[string]http.Handler{
-		s.Ready:        n.readyHandler(),
-		s.Directory:    n.directoryHandler(),
+		s.Ready:        n.cfg.Surface.ReadyHandler(n.isReady),
+		s.Directory:    n.cfg.Surface.ResolveHandler(n.resolve),
 		n.self().Peers: n.peerHandler(),
 	}
 	if n.cfg.MetricsPort > 0 {
--- a/io/node/world_test.go
+++ b/io/node/world_test.go
@@ -131,6 +131,7 @@
 		Settings: e.settings,
 		Dialect:  platform.Dialect(),
 		Decoder:  platform.Decoder{},
+		Surface:  platform.Surface{},
 		NewStore: func(address string, tr *http.Transport, count func(string)) magnolialedge.Keyspace {
 			return platform.NewStore(platform.StoreConfig{Address: address, Transport: tr, Count: count})
 		},
--- a/route.go
+++ b/route.go
@@ -1,6 +1,9 @@
 package magnolialedge
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // RouteKind tells what may be repeated of the requests on a route.
 type RouteKind string
@@ -153,3 +156,24 @@
 	// ParseLoad reads the value of Load.
 	ParseLoad func(string) (Reading, bool)
 }
+
+// ResolveQuery is a caller's question for the addresses of a host.
+type ResolveQuery struct {
+	Host   string
+	Region string
+	Zone   string
+}
+
+// Resolution names the entries that a caller should use, and for how long.
+type Resolution struct {
+	Addresses []string
+	Life      time.Duration
+}
+
+// Surface serves what the platform and callers ask an entry about itself.
+type Surface interface {
+	// ReadyHandler tells whether the entry takes callers.
+	ReadyHandler(isReady func() bool) http.Handler
+	// ResolveHandler tells callers where to connect.
+	ResolveHandler(resolve func(ResolveQuery) Resolution) http.Handler
+}
