Let new entries learn from seeds, and tell others of a start or a stop

Ruled out: overload; the refused requests had waited for nothing. Change: an entry without the store for 300 ms takes what its seeds know; an entry that leaves or starts says so to all others directly.

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -23,6 +23,7 @@
 	HistoryLost         = Event{2010, "historyLost", Info, "The store's history was gone; all items are listed anew."}
 	SourceLost          = Event{2011, "sourceLost", Info, "Another entry passes changes of the store on no more."}
 	PeerUnreachable     = Event{2012, "peerUnreachable", Info, "A message to another entry was not taken."}
+	MemberHeard         = Event{2013, "memberHeard", Info, "Another entry said that it has started or leaves."}
 	UpstreamLost        = Event{3001, "upstreamLost", Warning, "A connection broke after a request was written to an upstream."}
 	UpstreamDraining    = Event{3002, "upstreamDraining", Info, "An upstream said that it drains."}
 	ConnectionStalled   = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
@@ -50,7 +51,7 @@
 		StopForced, SettingsReloaded, SettingsRejected, AnnounceFailed,
 		LinesDropped, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
-		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable,
+		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt, KeyTableFull, HandedOver,
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -39,7 +39,10 @@
 	// none means that this entry watches the store itself.
 	Sources func() []string
 	Peers   PeerDialer
-	Log     event.Logger
+	// Seeds are peer addresses known from the start, from which a new entry
+	// learns what they know while the store gives no answer.
+	Seeds []string
+	Log   event.Logger
 }
 
 // Follower keeps a mirror of a store.
@@ -62,6 +65,7 @@
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	go f.tick(ctx)
+	go f.seed(ctx)
 	for ctx.Err() == nil {
 		sources := f.cfg.Sources()
 		if len(sources) == 0 || !f.hasListed() {
@@ -185,9 +189,11 @@
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.mirror.Reached(now)
+	if now.Sub(reached) < mostStreamAge {
+		f.mirror.Reached(now)
+	}
 	f.reached = reached
-	if f.lost {
+	if f.lost && now.Sub(reached) < mostStreamAge {
 		f.lost = false
 		f.cfg.Log.Log(event.StoreReachable, "revision", m.Revision)
 	}
--- a/io/mirror/follower_test.go
+++ b/io/mirror/follower_test.go
@@ -229,3 +229,24 @@
 	mine.set("b", false)
 	require.Eventually(t, k.has("b"), 4*time.Second, time.Millisecond)
 }
+
+// Pattern: entries are restarted while the store is down.
+func TestNewEntryLearnsFromASeedWhileTheStoreIsDown(t *testing.T) {
+	s := newFakeStore()
+	s.set("a", false)
+	old, _ := run(t, s, noSources)
+	srv := httptest.NewServer(old)
+	t.Cleanup(srv.Close)
+	require.Eventually(t, old.hasListed, soon, time.Millisecond)
+	s.setDown(true)
+	time.Sleep(2500 * time.Millisecond)
+	k := &known{keys: map[string]bool{}}
+	f := NewFollower(Config{Store: s, OnChange: k.take, Sources: noSources, Peers: httpPeers{}, Seeds: []string{"127.0.0.1:1", srv.Listener.Addr().String()}, Log: event.Logger{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	require.Eventually(t, k.has("a"), soon, time.Millisecond)
+	s.setDown(false)
+	s.set("b", false)
+	require.Eventually(t, k.has("b"), soon, time.Millisecond)
+}
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -54,7 +54,7 @@
 func (f *Follower) followAny(ctx context.Context, sources []string) bool {
 	for _, address := range sources {
 		begun := time.Now()
-		err := f.follow(ctx, address)
+		err := f.follow(ctx, address, mostStreamAge)
 		f.cfg.Log.Log(event.SourceLost, "source", address, "err", err, "revision", f.Revision())
 		if time.Since(begun) > mostStreamAge {
 			return true
@@ -63,7 +63,45 @@
 	return false
 }
 
-func (f *Follower) follow(ctx context.Context, address string) error {
+const (
+	// seedAfter is how long a new entry waits for the store before it asks its
+	// seeds, and seedGap the time between two rounds of asking.
+	seedAfter = 300 * time.Millisecond
+	seedGap   = 300 * time.Millisecond
+)
+
+// seed takes changes from a seed until the store has been listed. What seeds
+// know may be old; it is all that there is.
+func (f *Follower) seed(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go f.awaitListed(ctx, cancel)
+	sleep(ctx, seedAfter)
+	for ctx.Err() == nil {
+		for _, address := range f.cfg.Seeds {
+			err := f.follow(ctx, address, anyAge)
+			if ctx.Err() == nil {
+				f.cfg.Log.Log(event.SourceLost, "source", address, "err", err, "revision", f.Revision())
+			}
+		}
+		sleep(ctx, seedGap)
+	}
+}
+
+// awaitListed calls done once the store has been listed.
+func (f *Follower) awaitListed(ctx context.Context, done func()) {
+	for ctx.Err() == nil && !f.hasListed() {
+		sleep(ctx, tickEvery/4)
+	}
+	done()
+}
+
+// anyAge takes changes however long ago their source reached the store.
+const anyAge = time.Duration(0)
+
+// follow takes changes from a source for as long as it reached the store at most
+// mostAge ago.
+func (f *Follower) follow(ctx context.Context, address string, mostAge time.Duration) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(streamSilence, cancel)
@@ -82,7 +120,7 @@
 			return errors.Wrap(err, "stream")
 		}
 		age := time.Duration(m.AgeMs) * time.Millisecond
-		if age > mostStreamAge {
+		if mostAge != anyAge && age > mostAge {
 			return errStale
 		}
 		f.take(mirror.FromPeer, m, time.Now().Add(-age))
@@ -125,7 +163,7 @@
 
 // ServeHTTP passes changes on to another entry until it goes.
 func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !f.hasListed() {
+	if f.Revision() == 0 {
 		http.Error(w, "this entry does not know the store yet", http.StatusServiceUnavailable)
 		return
 	}
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -20,6 +20,7 @@
 // Paths that peers and operators use.
 const (
 	lostPath    = "/v1/lost"
+	memberPath  = "/v1/member"
 	dumpPath    = "/v1/dump"
 	metricsPath = "/metrics"
 )
@@ -44,17 +45,26 @@
 	e.GET(mirror.StreamPath, echo.WrapHandler(n.follower))
 	e.POST(lostPath, func(c echo.Context) error {
 		var m lostMessage
-		if err := json.NewDecoder(io.LimitReader(c.Request().Body, mostLostMessage)).Decode(&m); err != nil {
+		if err := json.NewDecoder(io.LimitReader(c.Request().Body, mostMessage)).Decode(&m); err != nil {
 			return c.NoContent(http.StatusBadRequest)
 		}
 		n.forwarder.Quarantine(m.Fingerprint, m.Losses)
 		return c.NoContent(http.StatusNoContent)
 	})
+	e.POST(memberPath, func(c echo.Context) error {
+		var in magnolialedge.Instance
+		if err := json.NewDecoder(io.LimitReader(c.Request().Body, mostMessage)).Decode(&in); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		n.members.hear(in)
+		n.log.Log(event.MemberHeard, "member", in.Name, "startedAt", in.StartedAt, "leaving", in.Leaving)
+		return c.NoContent(http.StatusNoContent)
+	})
 	return e
 }
 
-// mostLostMessage bounds a message of a peer, in bytes.
-const mostLostMessage = 1 << 10
+// mostMessage bounds a message of a peer, in bytes.
+const mostMessage = 4 << 10
 
 // dump is the state of the process.
 type dump struct {
@@ -89,16 +99,25 @@
 
 // tellLost tells all other entries of a request that crashed upstreams.
 func (n *Node) tellLost(fingerprint uint64, losses int) {
-	body, err := json.Marshal(lostMessage{Fingerprint: fingerprint, Losses: losses})
+	n.tellPeers(lostPath, lostMessage{Fingerprint: fingerprint, Losses: losses})
+}
+
+// tellMember tells all other entries that this one has started or leaves. The
+// store's list tells them too, unless the store is away.
+func (n *Node) tellMember() {
+	n.tellPeers(memberPath, n.self())
+}
+
+func (n *Node) tellPeers(path string, message any) {
+	body, err := json.Marshal(message)
 	if err != nil {
 		n.log.Log(event.PeerUnreachable, "err", err)
 		return
 	}
 	for _, in := range n.members.list() {
-		if in.Name == n.settings.Name {
-			continue
+		if in.Name != n.settings.Name {
+			go n.post(in.Peers, path, body)
 		}
-		go n.post(in.Peers, body)
 	}
 }
 
@@ -124,10 +143,10 @@
 	return resp.Body, nil
 }
 
-func (n *Node) post(address string, body []byte) {
+func (n *Node) post(address, path string, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+lostPath, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err == nil {
 		var resp *http.Response
 		if resp, err = n.peers.Do(req); err == nil {
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -29,11 +29,14 @@
 	self magnolialedge.Instance
 	mu   sync.Mutex
 	byID map[string]magnolialedge.Instance
+	// told is what entries said of themselves directly, which is later than the
+	// store's list while the store can't be written.
+	told map[string]magnolialedge.Instance
 	left bool
 }
 
 func newMembers(self magnolialedge.Instance) *members {
-	return &members{self: self, byID: map[string]magnolialedge.Instance{}}
+	return &members{self: self, byID: map[string]magnolialedge.Instance{}, told: map[string]magnolialedge.Instance{}}
 }
 
 // take takes a change if it concerns an entry.
@@ -47,6 +50,7 @@
 	var in magnolialedge.Instance
 	if c.Deleted || json.Unmarshal(c.Value, &in) != nil {
 		delete(m.byID, name)
+		delete(m.told, name)
 		return true
 	}
 	m.byID[name] = in
@@ -68,12 +72,38 @@
 	out := []magnolialedge.Instance{self}
 	for name, in := range m.byID {
 		if name != self.Name {
-			out = append(out, in)
+			out = append(out, m.latest(in))
 		}
 	}
 	return out
 }
 
+// hear takes what an entry says of itself.
+func (m *members) hear(in magnolialedge.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if isLater(in, m.told[in.Name]) {
+		m.told[in.Name] = in
+	}
+}
+
+// latest returns the later one of what the store lists and what was told.
+func (m *members) latest(listed magnolialedge.Instance) magnolialedge.Instance {
+	if told, ok := m.told[listed.Name]; ok && isLater(told, listed) {
+		return told
+	}
+	return listed
+}
+
+// isLater reports whether a tells of a later start than b, or that the same one
+// leaves.
+func isLater(a, b magnolialedge.Instance) bool {
+	if a.StartedAt != b.StartedAt {
+		return a.StartedAt > b.StartedAt
+	}
+	return a.Leaving && !b.Leaving
+}
+
 // addresses returns the callers' addresses that clients of a host in a region
 // should use.
 func (m *members) addresses(host, region string) []string {
--- a/io/node/members_test.go
+++ b/io/node/members_test.go
@@ -91,3 +91,19 @@
 	require.False(t, m.take(magnolialedge.Item{Key: "other/b", Revision: 2}))
 	require.Len(t, m.list(), 1)
 }
+
+// Pattern: entries are restarted one after the other while the store is down, so
+// that its list is that of before.
+func TestEntryIsBelievedAboutItselfWhileTheStoreIsAway(t *testing.T) {
+	views := fleetOf(t, "east", "a", "b")
+	m := views["a"]
+	left := member("b", "east")
+	left.Leaving = true
+	m.hear(left)
+	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", "east"))
+	again := member("b", "east")
+	again.StartedAt = 5
+	m.hear(again)
+	m.hear(left)
+	require.Len(t, m.addresses("shop.example", "east"), 2)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -112,18 +114,24 @@
 		OnChange: n.take,
 		Sources:  n.members.sources,
 		Peers:    peerStreams{client: n.peers},
+		Seeds:    n.seeds(),
 		Log:      n.log,
 	})
 	return n, nil
 }
 
+// seeds returns the entries known from the settings, without this one.
+func (n *Node) seeds() []string {
+	return slices.DeleteFunc(slices.Clone(n.settings.Seeds), func(a string) bool { return a == n.self().Peers })
+}
+
 func (n *Node) self() magnolialedge.Instance {
 	return magnolialedge.Instance{
 		Name:      n.settings.Name,
 		Region:    n.settings.Region,
 		Zone:      n.settings.Zone,
 		Callers:   n.settings.Callers,
-		Peers:     net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort)),
+		Peers:     cmp.Or(n.settings.Peers, net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort))),
 		StartedAt: n.start.UnixMilli(),
 		Leaving:   n.leaving.Load(),
 	}
@@ -246,6 +254,7 @@
 	for ctx.Err() == nil && !n.isReady() {
 		sleep(ctx, readyPoll)
 	}
+	n.tellMember()
 	n.log.Log(event.Ready, "version", n.forwarder.Version(), "afterMs", time.Since(n.start).Milliseconds())
 }
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -20,6 +20,10 @@
 	Callers   string
 	Ready     string
 	Directory string
+	// Peers is the address for other entries, and Seeds are those of a few of
+	// them, which may be stale.
+	Peers string
+	Seeds []string
 	// Store is the address of the platform's store.
 	Store string
 	// FirstPort and LastPort are free for traffic between entries.
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -25,6 +25,7 @@
 	begun := time.Now()
 	n.leaving.Store(true)
 	n.members.setLeaving()
+	n.tellMember()
 	n.callers.Leave()
 	n.log.Log(event.Draining, "inFlight", n.callers.InFlight(), "connections", n.callers.Connections())
 	limit := begun.Add(n.settings.StopLimit - stopMargin)
