Steer callers to the entries with the widest links

Change: entries tell the bandwidth of their links where they are listed, and Steer takes the widest first, by classes of a factor of two.

--- a/core/proc/steer.go
+++ b/core/proc/steer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -20,7 +21,8 @@
 	entryRate = 2000
 )
 
-// Steer returns the entries of region that serve service, best first, followed
+// Steer returns the entries of region that serve service, those with the widest
+// links first, followed
 // by the region's others as spares. rate is the service's requests a second in
 // the region. When the region has no live entry, those of other regions serve.
 // The second result is the number of entries that share the traffic.
@@ -30,12 +32,21 @@
 		live = liveIn(all, "")
 	}
 	slices.SortFunc(live, func(a, b magnolialedge.Instance) int {
-		return cmp.Or(cmp.Compare(weight(b, service), weight(a, service)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(capacityClass(b), capacityClass(a)), cmp.Compare(weight(b, service), weight(a, service)), cmp.Compare(a.Name, b.Name))
 	})
 	wanted := max(leastSteered, int(rate/entryRate)+2)
 	return live, min(wanted, len(live))
 }
 
+// capacityClass groups instances whose capacity differs by less than a factor of
+// two, so that small differences don't decide where callers go.
+func capacityClass(in magnolialedge.Instance) int {
+	if in.Capacity <= 0 {
+		return 0
+	}
+	return int(math.Log2(in.Capacity))
+}
+
 func liveIn(all []magnolialedge.Instance, region string) []magnolialedge.Instance {
 	var live []magnolialedge.Instance
 	for _, in := range all {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -134,6 +134,7 @@
 		Peers:     cmp.Or(n.settings.Peers, net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort))),
 		StartedAt: n.start.UnixMilli(),
 		Leaving:   n.leaving.Load(),
+		Capacity:  n.settings.LinkMbps,
 	}
 }
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -50,6 +50,8 @@
 	LeastLease time.Duration
 	MemoryMB   int
 	Files      int
+	// LinkMbps is the bandwidth of the instance's link.
+	LinkMbps float64
 }
 
 // Check returns what makes the settings unusable.
--- a/store.go
+++ b/store.go
@@ -44,6 +44,9 @@
 	// milliseconds.
 	StartedAt int64 `json:"startedAt,omitempty"`
 	Leaving   bool  `json:"leaving,omitempty"`
+	// Capacity is the bandwidth of the instance's link in Mbit/s, or 0 when it
+	// isn't known.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Lister is the platform's list of live and leaving instances.
