Let a watcher that the store turns away follow another entry

A watcher had nobody to follow. Change: a watcher that has lost the store takes changes from the next entries of its region, then of others, and tries the store again every 3 s.

--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -38,7 +38,10 @@
 	// Sources returns the peer addresses to take changes from, the best first;
 	// none means that this entry watches the store itself.
 	Sources func() []string
-	Peers   PeerDialer
+	// Others returns further peer addresses, which may know more than this entry
+	// when it has lost the store; it may be nil.
+	Others func() []string
+	Peers  PeerDialer
 	// Seeds are peer addresses known from the start, from which a new entry
 	// learns what they know while the store gives no answer.
 	Seeds []string
@@ -70,6 +73,7 @@
 		sources := f.cfg.Sources()
 		if len(sources) == 0 || !f.hasListed() {
 			f.watch(ctx)
+			f.followOthers(ctx)
 			continue
 		}
 		served := f.followAny(ctx, sources)
@@ -82,6 +86,24 @@
 	}
 }
 
+// followOthers takes changes from any other entry for a while if this one has
+// lost the store, which may turn away some entries and serve others.
+func (f *Follower) followOthers(ctx context.Context) {
+	if f.cfg.Others == nil || !f.isAway() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fallbackTime)
+	defer cancel()
+	f.followAny(ctx, f.cfg.Others())
+	f.setListed(false)
+}
+
+func (f *Follower) isAway() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.Away(time.Now())
+}
+
 // fallbackTime is how long an entry watches the store itself when no peer
 // passes changes on.
 const fallbackTime = 3 * time.Second
--- a/io/mirror/follower_test.go
+++ b/io/mirror/follower_test.go
@@ -250,3 +250,23 @@
 	s.set("b", false)
 	require.Eventually(t, k.has("b"), soon, time.Millisecond)
 }
+
+// Pattern: the store turns away the entry that watches it for its region and
+// serves the others.
+func TestWatcherThatTheStoreTurnsAwayFollowsAnother(t *testing.T) {
+	s := newFakeStore()
+	second, _ := run(t, s, noSources)
+	srv := httptest.NewServer(second)
+	t.Cleanup(srv.Close)
+	mine := newFakeStore()
+	k := &known{keys: map[string]bool{}}
+	f := NewFollower(Config{Store: mine, OnChange: k.take, Sources: noSources, Peers: httpPeers{},
+		Others: func() []string { return []string{srv.Listener.Addr().String()} }, Log: event.Logger{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	require.Eventually(t, f.hasListed, soon, time.Millisecond)
+	mine.setDown(true)
+	s.set("b", false)
+	require.Eventually(t, k.has("b"), 4*time.Second, time.Millisecond)
+}
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -22,6 +22,9 @@
 	// take changes from. The first watches the store; the second follows the
 	// first until that fails.
 	sourcesPerRegion = 2
+	// mostOthers is the number of further entries of a region that are asked
+	// for changes.
+	mostOthers = 2
 )
 
 // members is the list of live entries.
@@ -119,6 +122,34 @@
 // sources returns the entries of this region from which changes of the store
 // are taken; none when this entry is one that watches the store.
 func (m *members) sources() []string {
+	var out []string
+	for i, in := range m.ranked() {
+		if i == sourcesPerRegion || in.Name == m.self.Name {
+			break
+		}
+		out = append(out, in.Peers)
+	}
+	return out
+}
+
+// others returns a few entries beside the sources, of this region first.
+func (m *members) others() []string {
+	var out []string
+	for _, in := range m.ranked() {
+		if in.Name != m.self.Name && len(out) < mostOthers {
+			out = append(out, in.Peers)
+		}
+	}
+	for _, in := range m.list() {
+		if in.Region != m.self.Region && len(out) < 2*mostOthers {
+			out = append(out, in.Peers)
+		}
+	}
+	return out
+}
+
+// ranked returns the live entries of this region in an order that all agree on.
+func (m *members) ranked() []magnolialedge.Instance {
 	var live []magnolialedge.Instance
 	for _, in := range m.list() {
 		if in.Region == m.self.Region && !in.Leaving {
@@ -128,14 +159,7 @@
 	slices.SortFunc(live, func(a, b magnolialedge.Instance) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	var out []string
-	for _, in := range live[:min(sourcesPerRegion, len(live))] {
-		if in.Name == m.self.Name {
-			break
-		}
-		out = append(out, in.Peers)
-	}
-	return out
+	return live
 }
 
 const (
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -113,6 +113,7 @@
 		Store:    n.store,
 		OnChange: n.take,
 		Sources:  n.members.sources,
+		Others:   n.members.others,
 		Peers:    peerStreams{client: n.peers},
 		Seeds:    n.seeds(),
 		Log:      n.log,
