Explain a request from its log lines

Cause: on call there are only logs; a request's line names its attempts in a short form, and what was believed of the upstreams stands in other lines.

Change: magnolialedge explain --id ID FILE... prints the lines of a request, its attempts spelt out and the lines on their upstreams.

--- a/cmd/magnolialedge/main.go
+++ b/cmd/magnolialedge/main.go
@@ -24,6 +24,7 @@
 type commands struct {
 	Entry   entryCommand   `cmd:"" help:"Run an entry instance."`
 	Serve   serveCommand   `cmd:"" help:"Run an entry on the platform."`
+	Explain explainCommand `cmd:"" help:"Print what log files tell of one request."`
 	Check   checkCommand   `cmd:"" help:"Validate a document; nothing is sent."`
 	Apply   applyCommand   `cmd:"" help:"Submit a document through an entry."`
 	Resolve resolveCommand `cmd:"" help:"Ask an entry which addresses to use for a service."`
