Prefer upstreams whose readings aren't overdue

Change: an upstream that hasn't answered a reading within 25 ms and two round trips goes last; a connection for a request is opened within 150 ms and three round trips, in place of 400 ms.

--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -32,6 +32,8 @@
 	headBytes = 1 << 10
 	// probationCost keeps an upstream on probation behind healthy ones.
 	probationCost = 150 * time.Millisecond
+	// muteCost keeps an upstream whose reading is overdue behind others.
+	muteCost = 500 * time.Millisecond
 	// newcomerGain makes an upstream that had no request yet better, so that
 	// it is found out about.
 	newcomerGain = 0.15
@@ -266,6 +268,9 @@
 	if u.health.At(now) == proc.Probation {
 		cost += float64(probationCost)
 	}
+	if u.isMute(now) {
+		cost += float64(muteCost)
+	}
 	if !u.used {
 		cost -= work * newcomerGain
 	}
@@ -399,6 +404,13 @@
 	}
 }
 
+// Asked records that a reading was asked for.
+func (f *Fleet) Asked(now time.Time, id string) {
+	if u, ok := f.byID[id]; ok && u.askedAt.IsZero() {
+		u.askedAt = now
+	}
+}
+
 // Seen records a sign of life that tells no load.
 func (f *Fleet) Seen(now time.Time, id string) {
 	if u, ok := f.byID[id]; ok {
--- a/core/pick/fleet_test.go
+++ b/core/pick/fleet_test.go
@@ -201,3 +201,19 @@
 	found, _ = f.Candidates(at(0), upload, 3)
 	require.Equal(t, []string{"far"}, ids(found))
 }
+
+// Pattern: an upstream falls silent. Requests needn't wait until it counts as
+// unreachable to go elsewhere.
+func TestUpstreamWhoseReadingIsOverdueGoesLast(t *testing.T) {
+	f := newTestFleet()
+	f.Register(at(0), registration("silent", "east-a", 4))
+	f.Register(at(0), registration("other", "east-b", 4))
+	f.Asked(at(0), "silent")
+	found, _ := f.Candidates(at(10), need(at(10)), 2)
+	require.Equal(t, "silent", found[0].ID)
+	found, _ = f.Candidates(at(50), need(at(50)), 2)
+	require.Equal(t, "other", found[0].ID)
+	f.Read(at(60), "silent", magnolialedge.Reading{Slots: 4, Slowness: 1})
+	found, _ = f.Candidates(at(60), need(at(60)), 2)
+	require.Equal(t, "silent", found[0].ID)
+}
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -46,6 +46,8 @@
 	coldTill time.Time
 	inFlight int
 
+	// askedAt is when the oldest reading that has not come was asked for.
+	askedAt  time.Time
 	readAt   time.Time
 	slowness float64
 	usual    float64
@@ -148,15 +150,26 @@
 }
 
 func (u *upstream) reached() {
+	u.askedAt = time.Time{}
 	u.dark = 0
 	u.darkTill = time.Time{}
 }
 
 func (u *upstream) unreachable(now time.Time) {
+	u.askedAt = time.Time{}
 	u.dark = min(max(darkTime, 2*u.dark), mostDarkTime)
 	u.darkTill = now.Add(u.dark)
 }
 
+// muteAfter is how long an upstream may take to answer with its load, beyond two
+// round trips, before others go first.
+const muteAfter = 25 * time.Millisecond
+
+// isMute reports whether a reading is overdue.
+func (u *upstream) isMute(now time.Time) bool {
+	return !u.askedAt.IsZero() && now.Sub(u.askedAt) > muteAfter+2*u.trip
+}
+
 func (u *upstream) failShare(now time.Time) float64 {
 	return u.failed * math.Exp2(-float64(now.Sub(u.failedAt))/float64(failLife))
 }
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -63,6 +63,7 @@
 	}
 	done := make(chan struct{})
 	f.asking[r.ID] = done
+	f.fleet.Asked(time.Now(), r.ID)
 	go func() {
 		f.takeReading(r, trip, health)
 		f.mu.Lock()
@@ -138,7 +139,7 @@
 
 // connect returns a connection that is good for a request: one that was asked
 // just now, one that was proven of late, or a new one.
-func (f *Forwarder) connect(ctx context.Context, r magnolialedge.Registration, once bool, health string) (*link.Conn, error) {
+func (f *Forwarder) connect(ctx context.Context, r magnolialedge.Registration, trip time.Duration, once bool, health string) (*link.Conn, error) {
 	life := provenLife
 	if once {
 		life = provenOnceLife
@@ -156,10 +157,14 @@
 		c.Close()
 		f.cfg.Pool.Drop(r.ID)
 	}
-	short, cancel := context.WithTimeout(ctx, openTimeout)
+	short, cancel := context.WithTimeout(ctx, openTimeout+openTrips*trip)
 	defer cancel()
 	return f.open(short, r)
 }
 
-// openTimeout bounds the opening of a connection for a request.
-const openTimeout = 400 * time.Millisecond
+const (
+	// openTimeout bounds the opening of a connection for a request, beyond
+	// openTrips round trips.
+	openTimeout = 150 * time.Millisecond
+	openTrips   = 3
+)
