--- /dev/null
+++ b/core/mirror/random_test.go
@@ -0,0 +1,144 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"magnolialedge"
+	"magnolialedge/io/seed"
+)
+
+// truth is the store as it is, with its whole history.
+type truth struct {
+	items    map[string]magnolialedge.Item
+	history  []magnolialedge.Item
+	revision int64
+}
+
+func (s *truth) change(key string, remove bool) {
+	if _, ok := s.items[key]; remove && !ok {
+		return
+	}
+	s.revision++
+	it := magnolialedge.Item{Key: key, Revision: s.revision, Deleted: remove}
+	s.history = append(s.history, it)
+	if remove {
+		delete(s.items, key)
+		return
+	}
+	s.items[key] = it
+}
+
+func (s *truth) list() []magnolialedge.Item {
+	var out []magnolialedge.Item
+	for _, it := range s.items {
+		out = append(out, it)
+	}
+	return out
+}
+
+func (s *truth) since(revision int64) []magnolialedge.Item {
+	var out []magnolialedge.Item
+	for _, it := range s.history {
+		if it.Revision > revision {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+// TestMirrorsAgreeWithTheStoreInTheEnd lets a watcher and a reader go through
+// changes, outages, lost history, late and repeated messages and a reader that
+// goes back and forth between store and peer.
+func TestMirrorsAgreeWithTheStoreInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &truth{items: map[string]magnolialedge.Item{}, revision: 1}
+		now := start
+		watcher, reader := New(), New()
+		var late []magnolialedge.Item
+		down := false
+		key := func() string { return fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"put":    func(*rapid.T) { store.change(key(), false) },
+			"remove": func(*rapid.T) { store.change(key(), true) },
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"down": func(*rapid.T) { down = !down },
+			"watch": func(*rapid.T) {
+				if down {
+					watcher.Failed(now)
+					return
+				}
+				watcher.Reached(now)
+				late = store.since(watcher.Revision())
+				watcher.Apply(now, late, store.revision)
+			},
+			"list": func(*rapid.T) {
+				if !down {
+					watcher.Reached(now)
+					watcher.Snapshot(now, FromStore, store.list(), store.revision)
+				}
+			},
+			"repeat": func(*rapid.T) { watcher.Apply(now, late, watcher.Revision()) },
+			"tick":   func(*rapid.T) { watcher.Tick(now); reader.Tick(now) },
+			"peer":   func(*rapid.T) { reader.Snapshot(now, FromPeer, watcher.Certain(), watcher.Revision()) },
+			"direct": func(*rapid.T) {
+				if !down {
+					reader.Reached(now)
+					reader.Snapshot(now, FromStore, store.list(), store.revision)
+				}
+			},
+			"": func(t *rapid.T) {
+				for _, m := range []*Mirror{watcher, reader} {
+					require.LessOrEqual(t, m.Revision(), store.revision)
+					for _, it := range m.Items() {
+						require.False(t, it.Deleted)
+					}
+				}
+			},
+		})
+		for _, m := range []*Mirror{watcher, reader} {
+			m.Reached(now)
+			m.Snapshot(now, FromStore, store.list(), store.revision)
+			m.Tick(now.Add(holdTime + time.Millisecond))
+			require.ElementsMatch(t, store.list(), m.Items())
+		}
+	})
+}
+
+// TestRemovalIsNeverTakenBack lets a reader hear of removals and of what peers
+// held before, in any order.
+func TestRemovalIsNeverTakenBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &truth{items: map[string]magnolialedge.Item{}, revision: 1}
+		for i := range 4 {
+			store.change(fmt.Sprint(i), false)
+		}
+		old, oldRevision := store.list(), store.revision
+		m := New()
+		m.Snapshot(start, FromStore, old, oldRevision)
+		gone := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "gone"))
+		store.change(gone, true)
+		m.Apply(start, store.since(oldRevision), store.revision)
+		for range rapid.IntRange(1, 6).Draw(t, "messages") {
+			revision := store.revision + int64(rapid.IntRange(-3, 3).Draw(t, "revision"))
+			if rapid.Bool().Draw(t, "snapshot") {
+				m.Snapshot(start, FromPeer, old, revision)
+			} else {
+				m.Apply(start, old, revision)
+			}
+			for _, it := range m.Items() {
+				require.NotEqual(t, gone, it.Key)
+			}
+		}
+	})
+}
+
+func TestMain(m *testing.M) {
+	seed.Main(m)
+}
--- /dev/null
+++ b/core/route/table_test.go
@@ -0,0 +1,84 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"magnolialedge"
+	"magnolialedge/io/seed"
+)
+
+func TestMain(m *testing.M) {
+	seed.Main(m)
+}
+
+func to(name, host, prefix string, parts ...magnolialedge.SplitPart) magnolialedge.Route {
+	return magnolialedge.Route{Name: name, Host: host, Prefix: prefix, Kind: magnolialedge.RouteSafe, Split: parts}
+}
+
+func part(service string, weight float64) magnolialedge.SplitPart {
+	return magnolialedge.SplitPart{Service: service, Weight: weight}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	table := NewTable(magnolialedge.Routing{Version: 3, Routes: []magnolialedge.Route{
+		to("short", "a.example", "/x/", part("s", 1)),
+		to("long", "a.example", "/x/y/", part("t", 1)),
+		to("other", "b.example", "/", part("u", 1)),
+	}}, nil)
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"A.Example:80", "/x/y/1", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"b.example", "/x/y/1", "other"},
+		{"c.example", "/x/1", ""},
+	} {
+		m, ok := table.Find(c.host, c.path)
+		require.Equal(t, c.want != "", ok, "%s%s", c.host, c.path)
+		require.Equal(t, c.want, m.Name)
+	}
+	require.True(t, table.HasHost("b.example"))
+}
+
+func TestSharesGoOnThroughAChangeOfAnotherRoute(t *testing.T) {
+	routes := []magnolialedge.Route{to("split", "h", "/s/", part("a", 3), part("b", 1))}
+	table := NewTable(magnolialedge.Routing{Version: 1, Routes: routes}, nil)
+	counts := map[string]int{}
+	for i := range 40 {
+		m, _ := table.Find("h", "/s/1")
+		counts[m.Service.Name]++
+		table = NewTable(magnolialedge.Routing{Version: int64(i + 2), Routes: append(routes, to("new", "h", "/n/", part("a", 1)))}, table)
+	}
+	require.Equal(t, map[string]int{"a": 30, "b": 10}, counts)
+}
+
+// TestSplitStaysCloseToItsWeights holds each part within one request of its share
+// for each part of the split, at any moment.
+func TestSplitStaysCloseToItsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 20), 1, 5).Draw(t, "weights")
+		var parts []magnolialedge.SplitPart
+		total := 0
+		for i, w := range weights {
+			parts = append(parts, part(string(rune('a'+i)), float64(w)))
+			total += w
+		}
+		s := NewSplitter(parts)
+		counts := map[string]int{}
+		for n := 1; n <= 200; n++ {
+			counts[s.Next()]++
+			for i, w := range weights {
+				share := float64(n) * float64(w) / float64(total)
+				require.InDelta(t, share, float64(counts[parts[i].Service]), float64(len(weights)))
+			}
+		}
+	})
+}
+
+func TestRouteWithoutPartsGoesNowhere(t *testing.T) {
+	require.Empty(t, NewSplitter(nil).Next())
+	require.Empty(t, NewSplitter([]magnolialedge.SplitPart{part("a", 0)}).Next())
+}
