Run and measure entries on the stand-in platform by one command

Cause: the README's commands ran the existing entry only; the new path could be run on the users' bench alone.

Change: standin routed starts a store, noisy upstreams and entries in one process, and measures them with an open loop.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	Platform platformCommand `cmd:"" help:"Run the platform: key-value service and list of instances."`
 	Upstream upstreamCommand `cmd:"" help:"Run one upstream."`
 	Link     linkCommand     `cmd:"" help:"Run a gateway that adds delay and can be cut or fall silent."`
+	Routed   routedCommand   `cmd:"" help:"Run entries on a stand-in of the users' platform, with noisy upstreams, and measure them."`
 	Load     loadCommand     `cmd:"" help:"Call entries as callers do, and print what came back."`
 	Entry    entryCommand    `cmd:"" hidden:"" help:"Run an entry instance, for the commands that start many."`
 	Measure  measureCommand  `cmd:"" help:"Measure the decisions against the naive ones, and print a table."`
--- /dev/null
+++ b/cmd/standin/routed.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/io/node"
+	"magnolialedge/platform"
+	"magnolialedge/platform/stand"
+)
+
+// routedCommand runs entries on a stand-in of the users' platform, and
+// measures them if a rate is given.
+type routedCommand struct {
+	Entries   int           `help:"Number of entries." default:"2"`
+	Port      int           `help:"First port of the entries, which take four each." default:"8100"`
+	PerZone   int           `help:"Upstreams in each of two availability zones." default:"3"`
+	Slots     int           `help:"Slots of an upstream." default:"4"`
+	Work      time.Duration `help:"Work of a request." default:"20ms"`
+	Noise     float64       `help:"Share of time in which an upstream is seven times slower." default:"0.25"`
+	Rate      float64       `help:"Requests a second to measure with; 0 only serves." default:"0"`
+	Duration  time.Duration `help:"Length of the measurement." default:"5s"`
+	Seed      uint64        `help:"Seed of the noise and the load." default:"1"`
+	Logs      bool          `help:"Print the entries' logs."`
+	NoiseStep time.Duration `help:"Time between two draws of the noise." default:"500ms"`
+}
+
+const (
+	entryIP     = "127.0.0.1"
+	noiseFactor = 7
+)
+
+// Run serves until it is interrupted or the measurement has ended.
+func (c *routedCommand) Run(ctx context.Context) error {
+	w := stand.NewWorld(stand.WorldConfig{
+		Zones: []string{"east-a", "east-b"}, PerZone: c.PerZone, Slots: c.Slots, Work: c.Work,
+		NoiseShare: c.Noise, NoiseFactor: noiseFactor, NoiseEvery: c.NoiseStep, Seed: c.Seed,
+	})
+	defer w.Close()
+	go w.Run(ctx)
+	var callers []string
+	for i := range c.Entries {
+		s := c.settings(w, i)
+		if err := c.start(ctx, s); err != nil {
+			return err
+		}
+		callers = append(callers, s.Callers)
+	}
+	d := platform.Dialect()
+	fmt.Printf("curl -H 'Host: %s' -H '%s: 1' -H '%s: 1000' http://%s/reads/1\n", stand.Host, d.RequestID, d.Deadline, callers[0])
+	if c.Rate <= 0 {
+		<-ctx.Done()
+		return nil
+	}
+	m := newMeasurement(c, callers)
+	m.run(ctx)
+	m.print()
+	return nil
+}
+
+func (c *routedCommand) settings(w *stand.World, i int) node.Settings {
+	at := func(n int) string { return net.JoinHostPort(entryIP, strconv.Itoa(c.Port+4*i+n)) }
+	return node.Settings{
+		Name: fmt.Sprintf("entry-%d", i), Zone: []string{"east-a", "east-b"}[i%2], Region: "east", IP: entryIP,
+		Regions: map[string]string{"east-a": "east", "east-b": "east"},
+		Callers: at(0), Ready: at(1), Directory: at(2), Peers: at(3), FirstPort: c.Port + 4*i + 3, LastPort: c.Port + 4*i + 3,
+		Store: w.Store.Address(), StopLimit: 6 * time.Second, RetryShare: 0.2, RetryExtra: 56, ResolveLimit: 5 * time.Second,
+	}
+}
+
+func (c *routedCommand) start(ctx context.Context, s node.Settings) error {
+	logs := io.Discard
+	if c.Logs {
+		logs = os.Stdout
+	}
+	n, err := node.New(node.Config{
+		Settings: s,
+		Dialect:  platform.Dialect(),
+		Decoder:  platform.Decoder{},
+		Surface:  platform.Surface{},
+		NewStore: func(address string, t *http.Transport, count func(string)) magnolialedge.Keyspace {
+			return platform.NewStore(platform.StoreConfig{Address: address, Transport: t, Count: count})
+		},
+		LogTo: logs,
+	})
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- n.Run(ctx, nil) }()
+	return awaitReady(s.Ready, failed)
+}
+
+// readyLimit bounds the start of an entry.
+const readyLimit = 5 * time.Second
+
+func awaitReady(address string, failed <-chan error) error {
+	for until := time.Now().Add(readyLimit); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		select {
+		case err := <-failed:
+			return err
+		default:
+		}
+		resp, err := http.Get("http://" + address + "/ready")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return errors.Newf("the entry at %s does not become ready", address)
+}
+
+// measurement is an open-loop load; latencies count from the intended start.
+type measurement struct {
+	cmd     *routedCommand
+	callers []string
+	client  *http.Client
+	mu      sync.Mutex
+	hist    *hdrhistogram.Histogram
+	status  map[int]int
+	inAim   int
+}
+
+func newMeasurement(c *routedCommand, callers []string) *measurement {
+	return &measurement{
+		cmd: c, callers: callers, status: map[int]int{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		hist:   hdrhistogram.New(1, time.Minute.Microseconds(), 3),
+	}
+}
+
+func (m *measurement) run(ctx context.Context) {
+	r := rand.New(rand.NewPCG(m.cmd.Seed, 2))
+	var group sync.WaitGroup
+	begun := time.Now()
+	next := begun
+	for i := 0; next.Sub(begun) < m.cmd.Duration && ctx.Err() == nil; i++ {
+		time.Sleep(time.Until(next))
+		group.Add(1)
+		go func(at time.Time) {
+			defer group.Done()
+			m.one(m.callers[i%len(m.callers)], i, at)
+		}(next)
+		next = next.Add(time.Duration(r.ExpFloat64() / m.cmd.Rate * float64(time.Second)))
+	}
+	group.Wait()
+}
+
+func (m *measurement) one(address string, i int, at time.Time) {
+	status := 0
+	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/reads/%d", address, i), nil)
+	if err == nil {
+		d := platform.Dialect()
+		req.Host = stand.Host
+		req.Header.Set(d.RequestID, strconv.Itoa(i))
+		req.Header.Set(d.Deadline, "2000")
+		var resp *http.Response
+		if resp, err = m.client.Do(req); err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			status = resp.StatusCode
+		}
+	}
+	took := time.Since(at)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status[status]++
+	if status == http.StatusOK {
+		_ = m.hist.RecordValue(took.Microseconds())
+		if took <= 3*m.cmd.Work {
+			m.inAim++
+		}
+	}
+}
+
+func (m *measurement) print() {
+	ms := func(q float64) float64 { return float64(m.hist.ValueAtQuantile(q)) / 1000 }
+	total := 0
+	for _, n := range m.status {
+		total += n
+	}
+	fmt.Printf("requests %d, by status (0: no answer) %v, within %s %.3f\n", total, m.status, 3*m.cmd.Work, float64(m.inAim)/float64(max(1, total)))
+	fmt.Printf("p50 %.1f ms, p99 %.1f ms, p999 %.1f ms\n", ms(50), ms(99), ms(99.9))
+}
