--- a/cmd/standin/routed.go
+++ b/cmd/standin/routed.go
@@ -113,7 +113,7 @@
 			return err
 		default:
 		}
-		resp, err := http.Get("http://" + address + "/ready")
+		resp, err := http.Get("http://" + address + platform.ReadyPath)
 		if err != nil {
 			continue
 		}
--- a/core/proc/steer.go
+++ b/core/proc/steer.go
@@ -32,15 +32,15 @@
 		live = liveIn(all, "")
 	}
 	slices.SortFunc(live, func(a, b magnolialedge.Instance) int {
-		return cmp.Or(cmp.Compare(capacityClass(b), capacityClass(a)), cmp.Compare(weight(b, service), weight(a, service)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(CapacityClass(b), CapacityClass(a)), cmp.Compare(weight(b, service), weight(a, service)), cmp.Compare(a.Name, b.Name))
 	})
 	wanted := max(leastSteered, int(rate/entryRate)+2)
 	return live, min(wanted, len(live))
 }
 
-// capacityClass groups instances whose capacity differs by less than a factor of
+// CapacityClass groups instances whose capacity differs by less than a factor of
 // two, so that small differences don't decide where callers go.
-func capacityClass(in magnolialedge.Instance) int {
+func CapacityClass(in magnolialedge.Instance) int {
 	if in.Capacity <= 0 {
 		return 0
 	}
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -58,6 +58,7 @@
 	reached time.Time
 	lost    bool
 	subs    map[chan message]struct{}
+	pack    pack
 }
 
 // NewFollower returns a Follower that knows nothing.
--- a/io/mirror/follower_test.go
+++ b/io/mirror/follower_test.go
@@ -1,10 +1,14 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -270,3 +274,30 @@
 	s.set("b", false)
 	require.Eventually(t, k.has("b"), 4*time.Second, time.Millisecond)
 }
+
+// Pattern: all entries start at once and take the snapshot of one source over a
+// narrow link.
+func TestSlowMessageIsNotSilence(t *testing.T) {
+	items := make([]magnolialedge.Item, 100)
+	for i := range items {
+		items[i] = magnolialedge.Item{Key: fmt.Sprint("a", i), Value: bytes.Repeat([]byte("x"), 300), Revision: int64(i + 2)}
+	}
+	packed, err := packItems(items)
+	require.NoError(t, err)
+	require.Less(t, len(packed), 100*300/5)
+	line, err := json.Marshal(message{Snapshot: true, Packed: packed, Revision: 200})
+	require.NoError(t, err)
+	narrow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		line = append(line, '\n')
+		for part := range slices.Chunk(line, len(line)/6+1) {
+			_, _ = w.Write(part)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(streamSilence / 3)
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(narrow.Close)
+	mine := newFakeStore()
+	_, k := run(t, mine, func() []string { return []string{narrow.Listener.Addr().String()} })
+	require.Eventually(t, k.has("a99"), 6*time.Second, 5*time.Millisecond)
+}
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -39,7 +39,9 @@
 	// Snapshot tells that Items are all items rather than changes.
 	Snapshot bool                 `json:"snapshot,omitempty"`
 	Items    []magnolialedge.Item `json:"items,omitempty"`
-	Revision int64                `json:"revision"`
+	// Packed holds the items of a snapshot in place of Items, as gzip of JSON.
+	Packed   []byte `json:"packed,omitempty"`
+	Revision int64  `json:"revision"`
 	// AgeMs is the time since the source reached the store.
 	AgeMs int64 `json:"ageMs"`
 }
@@ -111,10 +113,9 @@
 		return err
 	}
 	defer body.Close()
-	lines := bufio.NewScanner(body)
+	lines := bufio.NewScanner(&heardReader{r: body, heard: func() { silence.Reset(streamSilence) }})
 	lines.Buffer(make([]byte, 0, 4<<10), mostLine)
 	for lines.Scan() {
-		silence.Reset(streamSilence)
 		var m message
 		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
 			return errors.Wrap(err, "stream")
@@ -123,11 +124,30 @@
 		if mostAge != anyAge && age > mostAge {
 			return errStale
 		}
+		if err := m.unpack(); err != nil {
+			return err
+		}
 		f.take(mirror.FromPeer, m, time.Now().Add(-age))
 	}
 	return errors.Wrap(lines.Err(), "stream ended")
 }
 
+// heardReader tells of each part that comes, so that a long message over a narrow
+// link isn't taken for silence.
+type heardReader struct {
+	r     io.Reader
+	heard func()
+}
+
+// Read implements io.Reader.
+func (h *heardReader) Read(b []byte) (int, error) {
+	n, err := h.r.Read(b)
+	if n > 0 {
+		h.heard()
+	}
+	return n, err
+}
+
 // publish hands a message to all readers; f.mu is held.
 func (f *Follower) publish(m message) {
 	if len(m.Items) == 0 {
@@ -149,7 +169,7 @@
 	defer f.mu.Unlock()
 	sub := make(chan message, subscriberRoom)
 	f.subs[sub] = struct{}{}
-	return message{Snapshot: true, Items: f.mirror.Certain(), Revision: f.mirror.Revision()}, sub
+	return message{Snapshot: true, Packed: f.packed(), Revision: f.mirror.Revision()}, sub
 }
 
 func (f *Follower) unsubscribe(sub chan message) {
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -148,7 +148,8 @@
 	return out
 }
 
-// ranked returns the live entries of this region in an order that all agree on.
+// ranked returns the live entries of this region in an order that all agree on,
+// those with the widest links first.
 func (m *members) ranked() []magnolialedge.Instance {
 	var live []magnolialedge.Instance
 	for _, in := range m.list() {
@@ -157,7 +158,7 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b magnolialedge.Instance) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(proc.CapacityClass(b), proc.CapacityClass(a)), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	return live
 }
