--- a/cmd/magnolialedge/serve.go
+++ b/cmd/magnolialedge/serve.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"magnolialedge"
 	"magnolialedge/io/node"
 	"magnolialedge/platform"
 )
@@ -32,7 +30,7 @@
 		Dialect:     platform.Dialect(),
 		Decoder:     platform.Decoder{},
 		Surface:     platform.Surface{},
-		NewStore:    newStore,
+		NewStore:    platform.OpenStore,
 		LogTo:       os.Stdout,
 	})
 	if err != nil {
@@ -45,10 +43,6 @@
 	return n.Run(ctx, reload)
 }
 
-func newStore(address string, transport *http.Transport, count func(string)) magnolialedge.Keyspace {
-	return platform.NewStore(platform.StoreConfig{Address: address, Transport: transport, Count: count})
-}
-
 // settingsEvery is the time between two looks at the settings file.
 const settingsEvery = 2 * time.Second
 
--- a/cmd/standin/routed.go
+++ b/cmd/standin/routed.go
@@ -15,7 +15,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
-	"magnolialedge"
 	"magnolialedge/io/node"
 	"magnolialedge/platform"
 	"magnolialedge/platform/stand"
@@ -90,10 +89,8 @@
 		Dialect:  platform.Dialect(),
 		Decoder:  platform.Decoder{},
 		Surface:  platform.Surface{},
-		NewStore: func(address string, t *http.Transport, count func(string)) magnolialedge.Keyspace {
-			return platform.NewStore(platform.StoreConfig{Address: address, Transport: t, Count: count})
-		},
-		LogTo: logs,
+		NewStore: platform.OpenStore,
+		LogTo:    logs,
 	})
 	if err != nil {
 		return err
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -66,11 +66,6 @@
 	return t.routing
 }
 
-// HasHost reports whether any route is for host.
-func (t *Table) HasHost(host string) bool {
-	return len(t.byHost[canonicalHost(host)]) > 0
-}
-
 // Find returns the route with the longest prefix of path, and picks the service
 // of a split.
 func (t *Table) Find(host, path string) (Match, bool) {
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -40,7 +40,6 @@
 		require.Equal(t, c.want != "", ok, "%s%s", c.host, c.path)
 		require.Equal(t, c.want, m.Name)
 	}
-	require.True(t, table.HasHost("b.example"))
 }
 
 func TestSharesGoOnThroughAChangeOfAnotherRoute(t *testing.T) {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -15,6 +15,7 @@
 	"magnolialedge/io/call"
 	"magnolialedge/io/conn"
 	"magnolialedge/io/event"
+	"magnolialedge/io/pause"
 	"magnolialedge/io/peer"
 	"magnolialedge/io/plat"
 	"magnolialedge/io/proc"
@@ -232,7 +233,7 @@
 			e.fleet.SetInstances(list)
 			e.clients.Keep(list)
 		}
-		sleep(ctx, listEvery)
+		pause.Sleep(ctx, listEvery)
 	}
 }
 
@@ -241,13 +242,13 @@
 		in := e.self
 		in.Leaving = e.leaving.is()
 		_ = e.platform.Announce(ctx, in)
-		sleep(ctx, announceEvery)
+		pause.Sleep(ctx, announceEvery)
 	}
 }
 
 func (e *Entry) tellReady(ctx context.Context) {
 	for ctx.Err() == nil && !e.ready() {
-		sleep(ctx, 10*time.Millisecond)
+		pause.Sleep(ctx, 10*time.Millisecond)
 	}
 	e.log.Log(event.Ready, "revision", e.keeper.Version().Revision)
 }
@@ -255,12 +256,3 @@
 func (e *Entry) ready() bool {
 	return e.fleet.Version() != nil && !e.leaving.is()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -16,6 +16,7 @@
 	"magnolialedge"
 	core "magnolialedge/core/proc"
 	"magnolialedge/io/event"
+	"magnolialedge/io/pause"
 	"magnolialedge/io/peer/peerpb"
 )
 
@@ -39,7 +40,7 @@
 	leaving.Leaving = true
 	_ = e.platform.Announce(work, leaving)
 	e.tellLeaving(work)
-	sleep(work, e.settings.LeaveTime)
+	pause.Sleep(work, e.settings.LeaveTime)
 	ctx, cancel := context.WithTimeout(work, e.settings.StopLimit)
 	defer cancel()
 	err := e.servers[forCallers].Shutdown(ctx)
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -52,7 +52,6 @@
 	spoiled bool
 	// provenAt is when the upstream last answered on it.
 	provenAt time.Time
-	used     bool
 }
 
 func newConn(raw net.Conn, to magnolialedge.Registration, d magnolialedge.Dialect, opening time.Duration) *Conn {
@@ -78,11 +77,6 @@
 	return c.provenAt
 }
 
-// IsNew reports whether no request has been sent on the connection yet.
-func (c *Conn) IsNew() bool {
-	return !c.used
-}
-
 func (c *Conn) isClean() bool {
 	return !c.spoiled && c.r.Buffered() == 0
 }
@@ -104,7 +98,6 @@
 // whatever it says of the upstream's health.
 func (c *Conn) Health(ctx context.Context, host, path string) (magnolialedge.Reading, bool, error) {
 	defer c.watch(ctx)()
-	c.used = true
 	head := "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + c.dialect.ExpectedInstance + ": " + c.To.ID + "\r\n\r\n"
 	if _, err := io.WriteString(c.raw, head); err != nil {
 		c.spoiled = true
@@ -169,7 +162,6 @@
 // requests are read past.
 func (c *Conn) Exchange(ctx context.Context, req *Request) (*Answer, Sent, error) {
 	defer c.watch(ctx)()
-	c.used = true
 	head := c.head(req)
 	if len(req.Body) <= smallBody {
 		n, err := c.raw.Write(append(head, req.Body...))
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -11,6 +11,7 @@
 	"magnolialedge"
 	"magnolialedge/core/mirror"
 	"magnolialedge/io/event"
+	"magnolialedge/io/pause"
 )
 
 const (
@@ -147,13 +148,13 @@
 	}
 	switch {
 	case err == nil:
-		sleep(ctx, watchGap-time.Since(begun))
+		pause.Sleep(ctx, watchGap-time.Since(begun))
 	case errors.Is(err, magnolialedge.ErrHistoryLost):
 		f.cfg.Log.Log(event.HistoryLost, "revision", f.Revision())
 		f.setListed(false)
 	default:
 		f.failed(err)
-		sleep(ctx, retryGap+rand.N(retryJitter))
+		pause.Sleep(ctx, retryGap+rand.N(retryJitter))
 	}
 }
 
@@ -249,21 +250,9 @@
 
 func (f *Follower) tick(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, tickEvery)
+		pause.Sleep(ctx, tickEvery)
 		f.mu.Lock()
 		f.pass(f.mirror.Tick(time.Now()))
 		f.mu.Unlock()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -13,6 +13,7 @@
 	"magnolialedge"
 	"magnolialedge/core/mirror"
 	"magnolialedge/io/event"
+	"magnolialedge/io/pause"
 )
 
 const (
@@ -78,7 +79,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go f.awaitListed(ctx, cancel)
-	sleep(ctx, seedAfter)
+	pause.Sleep(ctx, seedAfter)
 	for ctx.Err() == nil {
 		for _, address := range f.cfg.Seeds {
 			err := f.follow(ctx, address, anyAge)
@@ -86,14 +87,14 @@
 				f.cfg.Log.Log(event.SourceLost, "source", address, "err", err, "revision", f.Revision())
 			}
 		}
-		sleep(ctx, seedGap)
+		pause.Sleep(ctx, seedGap)
 	}
 }
 
 // awaitListed calls done once the store has been listed.
 func (f *Follower) awaitListed(ctx context.Context, done func()) {
 	for ctx.Err() == nil && !f.hasListed() {
-		sleep(ctx, tickEvery/4)
+		pause.Sleep(ctx, tickEvery/4)
 	}
 	done()
 }
--- a/io/node/announce.go
+++ b/io/node/announce.go
@@ -9,6 +9,7 @@
 
 	"magnolialedge"
 	"magnolialedge/io/event"
+	"magnolialedge/io/pause"
 )
 
 const (
@@ -28,7 +29,7 @@
 	for ctx.Err() == nil {
 		leaving := n.leaving.Load()
 		if time.Now().Before(next) && leaving == toldLeaving {
-			sleep(ctx, announcePoll)
+			pause.Sleep(ctx, announcePoll)
 			continue
 		}
 		next = time.Now().Add(renewEvery)
@@ -36,7 +37,7 @@
 		if errors.Is(err, magnolialedge.ErrLeaseEnded) {
 			lease, written = magnolialedge.Lease{}, false
 			next = time.Now()
-			sleep(ctx, announcePoll)
+			pause.Sleep(ctx, announcePoll)
 			continue
 		}
 		if err != nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -21,6 +21,7 @@
 	"magnolialedge/io/front"
 	"magnolialedge/io/link"
 	"magnolialedge/io/mirror"
+	"magnolialedge/io/pause"
 	"magnolialedge/io/serve"
 )
 
@@ -254,7 +255,7 @@
 
 func (n *Node) tellReady(ctx context.Context) {
 	for ctx.Err() == nil && !n.isReady() {
-		sleep(ctx, readyPoll)
+		pause.Sleep(ctx, readyPoll)
 	}
 	n.tellMember()
 	n.log.Log(event.Ready, "version", n.forwarder.Version(), "afterMs", time.Since(n.start).Milliseconds())
@@ -265,18 +266,9 @@
 
 func (n *Node) tellDropped(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, droppedEvery)
+		pause.Sleep(ctx, droppedEvery)
 		if lines := n.backlog.TakeDropped(); lines > 0 {
 			n.log.Log(event.LinesDropped, "lines", lines, "sinceStart", n.backlog.Dropped())
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"magnolialedge/io/event"
+	"magnolialedge/io/pause"
 )
 
 const (
@@ -40,7 +41,7 @@
 				return
 			}
 		}
-		sleep(ctx, stopPoll)
+		pause.Sleep(ctx, stopPoll)
 	}
 	if n.callers.InFlight() > 0 {
 		n.log.Log(event.StopForced, "inFlight", n.callers.InFlight())
--- a/io/node/world_test.go
+++ b/io/node/world_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"magnolialedge"
 	"magnolialedge/io/node"
 	"magnolialedge/platform"
 	"magnolialedge/platform/stand"
@@ -132,10 +131,8 @@
 		Dialect:  platform.Dialect(),
 		Decoder:  platform.Decoder{},
 		Surface:  platform.Surface{},
-		NewStore: func(address string, tr *http.Transport, count func(string)) magnolialedge.Keyspace {
-			return platform.NewStore(platform.StoreConfig{Address: address, Transport: tr, Count: count})
-		},
-		LogTo: e.logs,
+		NewStore: platform.OpenStore,
+		LogTo:    e.logs,
 	})
 	require.NoError(w.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
