Say why settings were rejected on a reload

Cause: a settings file that could not be read was passed on as empty settings; the log named missing fields in place of the reason.

Change: a reload carries the error of the reading, which is logged.

--- a/cmd/magnolialedge/serve.go
+++ b/cmd/magnolialedge/serve.go
@@ -38,7 +38,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reload := make(chan node.Settings)
+	reload := make(chan node.Reload)
 	go c.watchSettings(ctx, reload)
 	return n.Run(ctx, reload)
 }
@@ -47,7 +47,7 @@
 const settingsEvery = 2 * time.Second
 
 // watchSettings reads the settings again on SIGHUP and when the file changes.
-func (c *serveCommand) watchSettings(ctx context.Context, reload chan<- node.Settings) {
+func (c *serveCommand) watchSettings(ctx context.Context, reload chan<- node.Reload) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	t := time.NewTicker(settingsEvery)
@@ -65,11 +65,8 @@
 		}
 		last = modified(c.SettingsFile)
 		s, err := platform.ReadSettings(c.SettingsFile)
-		if err != nil {
-			s = node.Settings{}
-		}
 		select {
-		case reload <- s:
+		case reload <- node.Reload{Settings: s, Err: err}:
 		case <-ctx.Done():
 		}
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -170,7 +170,7 @@
 
 // Run serves until ctx is done, and then stops without cutting a request.
 // Settings that come in reload replace those in force.
-func (n *Node) Run(ctx context.Context, reload <-chan Settings) error {
+func (n *Node) Run(ctx context.Context, reload <-chan Reload) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if err := n.listen(); err != nil {
@@ -190,8 +190,8 @@
 	defer n.backlog.Close()
 	for {
 		select {
-		case s := <-reload:
-			n.reload(s)
+		case r := <-reload:
+			n.reload(r)
 		case <-ctx.Done():
 			n.stop(work)
 			endAnnounce()
@@ -202,14 +202,25 @@
 	}
 }
 
+// Reload is what a new reading of the settings gave.
+type Reload struct {
+	Settings Settings
+	// Err tells why they could not be read.
+	Err error
+}
+
 // reload takes over new settings. Addresses are those of the start.
-func (n *Node) reload(s Settings) {
-	if err := s.Check(); err != nil {
+func (n *Node) reload(r Reload) {
+	err := r.Err
+	if err == nil {
+		err = r.Settings.Check()
+	}
+	if err != nil {
 		n.log.Log(event.SettingsRejected, "err", err)
 		return
 	}
-	n.log.Log(event.SettingsReloaded, "stopLimit", s.StopLimit)
-	n.settings.StopLimit = s.StopLimit
+	n.log.Log(event.SettingsReloaded, "stopLimit", r.Settings.StopLimit)
+	n.settings.StopLimit = r.Settings.StopLimit
 }
 
 func (n *Node) listen() error {
--- /dev/null
+++ b/io/node/reload_test.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"magnolialedge/io/event"
+)
+
+// TestRejectedSettingsSayWhyAndChangeNothing holds that the reason for which the
+// settings could not be read reaches the log.
+func TestRejectedSettingsSayWhyAndChangeNothing(t *testing.T) {
+	var b bytes.Buffer
+	n := &Node{log: event.NewLogger(&b, "e1"), settings: Settings{StopLimit: time.Second}}
+	n.reload(Reload{Err: errors.New("line 3 is not TOML")})
+	require.Contains(t, b.String(), "line 3 is not TOML")
+	n.reload(Reload{Settings: Settings{StopLimit: time.Minute}})
+	require.Contains(t, b.String(), "the zone is missing")
+	require.Equal(t, time.Second, n.settings.StopLimit)
+}
