Share the budget of retries among the live entries

Cause: each entry held a reserve of half the free retries over a fixed 14, and saved up four more for each service. With 98 entries and 162 free retries all of them together could spend more than twice what is free in one period. Change: an entry saves up its part of the free retries, by the number of listed entries (at least one, at most six); the limit shrinks when entries join. Before: TestAllEntriesTogetherKeepTheRetryBudget fails with the former figures (9 entries, 40 free retries). After: it passes, as does one entry of a thousand that still retries.

--- a/core/proc/bucket.go
+++ b/core/proc/bucket.go
@@ -74,9 +74,3 @@
 	b.tokens--
 	return true
 }
-
-// NewShareBudgetOf returns a ShareBudget that allows share extra attempts per
-// ordinary one, holds reserve at its start and saves up limit at most.
-func NewShareBudgetOf(share, reserve, limit float64) *ShareBudget {
-	return &ShareBudget{share: share, tokens: reserve, limit: limit}
-}
--- /dev/null
+++ b/core/proc/retry_test.go
@@ -0,0 +1,48 @@
+package proc
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestAllEntriesTogetherKeepTheRetryBudget lets fleets of any size retry as
+// often as they are allowed to. The pattern: every entry saves up for several
+// periods, and then all of them meet failures in the same period.
+func TestAllEntriesTogetherKeepTheRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := RetryLimits{Share: 0.2, Extra: rapid.Float64Range(40, 250).Draw(t, "extra")}
+		entries := rapid.IntRange(1, int(limits.Extra)).Draw(t, "entries")
+		budgets := make([]*ShareBudget, entries)
+		for i := range budgets {
+			budgets[i] = limits.NewRetryBudget(entries)
+		}
+		for range rapid.IntRange(1, 6).Draw(t, "periods") {
+			requests := rapid.IntRange(0, 5000).Draw(t, "requests")
+			failing := rapid.Bool().Draw(t, "failing")
+			retries := 0
+			for i := range requests {
+				b := budgets[i%entries]
+				b.Earn()
+				for failing && b.Spend() {
+					retries++
+				}
+			}
+			require.LessOrEqual(t, float64(retries), limits.Share*float64(requests)+limits.Extra)
+		}
+	})
+}
+
+func TestOneEntryOfALargeFleetStillRetries(t *testing.T) {
+	limits := RetryLimits{Share: 0.2, Extra: 50}
+	require.True(t, limits.NewRetryBudget(1000).Spend())
+}
+
+func TestSavingsShrinkWhenEntriesJoin(t *testing.T) {
+	limits := RetryLimits{Share: 0.2, Extra: 60}
+	b := limits.NewRetryBudget(1)
+	b.SetLimit(limits.Savings(60))
+	require.True(t, b.Spend())
+	require.False(t, b.Spend())
+}
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -81,6 +81,13 @@
 	return out
 }
 
+// size returns the number of listed entries.
+func (m *members) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.byID)
+}
+
 // hear takes what an entry says of itself.
 func (m *members) hear(in magnolialedge.Instance) {
 	m.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -16,6 +16,7 @@
 
 	"magnolialedge"
 	"magnolialedge/core/pick"
+	"magnolialedge/core/proc"
 	"magnolialedge/io/conn"
 	"magnolialedge/io/event"
 	"magnolialedge/io/front"
@@ -64,16 +65,9 @@
 	// kilobyte over such links.
 	crossZonePerKB   = 4 * time.Millisecond
 	crossRegionPerKB = 30 * time.Millisecond
-	// retryReserveShare is the part of the free retries that all entries
-	// together may spend before they have earned any.
-	retryReserveShare = 0.5
-	// retryShareUsed is the part of the shared retry budget that is used.
-	retryShareUsed = 0.7
 	// storeDialTimeout bounds the opening of a connection to the store. It is
 	// short because a cut that has healed is noticed by the next opening only.
 	storeDialTimeout = 300 * time.Millisecond
-	// assumedEntries divides the free retries among entries.
-	assumedEntries = 14
 )
 
 // New puts an instance together.
@@ -94,13 +88,12 @@
 			Prices:  pick.Prices{CrossZonePerKB: crossZonePerKB, CrossRegionPerKB: crossRegionPerKB},
 			Seed:    uint64(n.start.UnixNano()),
 		}),
-		Pool:         n.pool,
-		Dialect:      cfg.Dialect,
-		Metrics:      serve.NewMetrics(n.registry),
-		Log:          n.log,
-		RetryShare:   s.RetryShare * retryShareUsed,
-		RetryReserve: s.RetryExtra * retryReserveShare / assumedEntries,
-		TellLost:     n.tellLost,
+		Pool:     n.pool,
+		Dialect:  cfg.Dialect,
+		Metrics:  serve.NewMetrics(n.registry),
+		Log:      n.log,
+		Retries:  proc.RetryLimits{Share: s.RetryShare, Extra: s.RetryExtra},
+		TellLost: n.tellLost,
 	})
 	n.callers = front.NewServer(n.forwarder)
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -142,6 +135,7 @@
 
 // take brings changes of the store to those whom they concern.
 func (n *Node) take(changes []magnolialedge.Item) {
+	known := n.members.size()
 	for _, c := range changes {
 		if n.members.take(c) {
 			continue
@@ -152,6 +146,9 @@
 		}
 		n.apply(fact, c)
 	}
+	if now := n.members.size(); now != known {
+		n.forwarder.SetEntries(now)
+	}
 }
 
 func (n *Node) apply(fact magnolialedge.Fact, c magnolialedge.Item) {
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -22,10 +22,8 @@
 	Dialect magnolialedge.Dialect
 	Metrics *Metrics
 	Log     event.Logger
-	// RetryShare is the number of retries that each request earns, and
-	// RetryReserve what an entry may spend before it has earned any.
-	RetryShare   float64
-	RetryReserve float64
+	// Retries bounds what all entries together spend on retries.
+	Retries proc.RetryLimits
 	// TellLost passes on that a request crashed upstreams.
 	TellLost func(fingerprint uint64, losses int)
 }
@@ -35,11 +33,13 @@
 	cfg Config
 
 	// mu guards all that follows; it is never held during input or output.
-	mu         sync.Mutex
-	table      *route.Table
-	fleet      *pick.Fleet
-	queues     map[string]*queue
-	retries    map[string]*proc.ShareBudget
+	mu      sync.Mutex
+	table   *route.Table
+	fleet   *pick.Fleet
+	queues  map[string]*queue
+	retries map[string]*proc.ShareBudget
+	// entries is the number of live entries, which share the budget of retries.
+	entries    int
 	quarantine *proc.Quarantine
 	// asking holds the readings that are on their way, by upstream.
 	asking map[string]chan struct{}
@@ -155,19 +155,25 @@
 	return m, true, found
 }
 
+// SetEntries takes the number of live entries.
+func (f *Forwarder) SetEntries(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = n
+	for _, b := range f.retries {
+		b.SetLimit(f.cfg.Retries.Savings(n))
+	}
+}
+
 func (f *Forwarder) budget(service string) *proc.ShareBudget {
 	b, ok := f.retries[service]
 	if !ok {
-		b = proc.NewShareBudgetOf(f.cfg.RetryShare, f.cfg.RetryReserve, f.cfg.RetryReserve+mostSavedRetries)
+		b = f.cfg.Retries.NewRetryBudget(f.entries)
 		f.retries[service] = b
 	}
 	return b
 }
 
-// mostSavedRetries bounds the retries that a service saves up beyond its
-// reserve.
-const mostSavedRetries = 4
-
 func (f *Forwarder) earnRetry(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
