Pass long answers on, and bound what callers make an entry hold

Cause: answers above 16 MiB ended as 502, each held whole; bodies and callers' connections had no common bound, so that a few callers could take the memory or the descriptors of a small entry; an accept that failed once (as it does while all descriptors are in use) ended the listener for good; a panic in one request ended the process. Ruled out: passing bodies on as they come: a slow caller would hold a slot of an upstream, and the slots are what is short (docs/design/platform.md). Change: an answer is held up to 256 KiB, the rest goes on to the caller as it comes, and counts as in flight until its end; one that breaks off ends the connection. All bodies together take a fifth of the memory and connections half of the descriptors; what goes beyond is refused at once with a time to come back. Accepting goes on after a failure; a panic ends one request.

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -11,6 +11,7 @@
 	SettingsRejected    = Event{1007, "settingsRejected", Warning, "Changed settings can't work and were not taken."}
 	AnnounceFailed      = Event{1008, "announceFailed", Warning, "The entry could not be listed in the store."}
 	LinesDropped        = Event{1009, "linesDropped", Warning, "Log lines were left out to keep their volume bounded."}
+	AcceptFailed        = Event{1010, "acceptFailed", Warning, "A caller's connection could not be accepted."}
 	VersionInForce      = Event{2001, "versionInForce", Info, "A configuration of a higher revision is in force."}
 	VersionRejected     = Event{2002, "versionRejected", Warning, "A configuration could not be read and was not taken."}
 	VersionAccepted     = Event{2003, "versionAccepted", Info, "A change was accepted here and offered to the relays."}
@@ -28,7 +29,7 @@
 	UpstreamDraining    = Event{3002, "upstreamDraining", Info, "An upstream said that it drains."}
 	ConnectionStalled   = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
 	Quarantined         = Event{3004, "quarantined", Warning, "A request lost two upstreams and is refused for a while."}
-	RequestServed       = Event{3101, "requestServed", Info, "A request on a route was answered; attempts are upstream:end:tookMs:readingAgeMs:slowness:load."}
+	RequestServed       = Event{3101, "requestServed", Info, "A request on a route was answered; the result is cut if a long answer broke off; attempts are upstream:end:tookMs:readingAgeMs:slowness:load."}
 	RequestUnreadable   = Event{3102, "requestUnreadable", Warning, "A caller's request could not be read and was refused."}
 	UpstreamUnreachable = Event{3103, "upstreamUnreachable", Warning, "A registered upstream gave no sign of life and gets no request for a while."}
 	UpstreamCrashed     = Event{3104, "upstreamCrashed", Warning, "An upstream was gone after it had lost a request; the request's fingerprint is counted."}
@@ -49,7 +50,7 @@
 	return []Event{
 		Started, Ready, Draining, Stopped,
 		StopForced, SettingsReloaded, SettingsRejected, AnnounceFailed,
-		LinesDropped, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
+		LinesDropped, AcceptFailed, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
--- a/io/event/catalogue_test.go
+++ b/io/event/catalogue_test.go
@@ -36,7 +36,7 @@
 	declared := regexp.MustCompile(`(?m)^\t(\w+) += Event\{`).FindAllStringSubmatch(string(source), -1)
 	require.Len(t, declared, len(Catalogue()))
 	var code strings.Builder
-	for _, dir := range []string{"../call", "../entry", "../mirror", "../node", "../serve", "../vers"} {
+	for _, dir := range []string{"../call", "../entry", "../front", "../mirror", "../node", "../serve", "../vers"} {
 		files, err := os.ReadDir(dir)
 		require.NoError(t, err)
 		for _, f := range files {
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -38,6 +38,8 @@
 	// idle tells that the reader waits for the first byte of a request.
 	idle   bool
 	closed bool
+	// surplus tells that the connection is one too many: its request is refused.
+	surplus bool
 }
 
 // turn is one request's place in the order of answers.
@@ -89,6 +91,7 @@
 		t := &turn{req: req, answer: make(chan *Answer, 1), prior: prior, done: make(chan struct{})}
 		prior = t.done
 		if !c.begin() {
+			c.server.release(req)
 			return false
 		}
 		if refusal != nil {
@@ -97,7 +100,7 @@
 			c.turns <- t
 			return false
 		}
-		t.last = wantsClose(req)
+		t.last = req.IsLast
 		c.turns <- t
 		go c.run(t)
 		if t.last {
@@ -132,11 +135,12 @@
 	ended := false
 	for t := range c.turns {
 		if ended {
-			c.end()
+			go t.discard()
+			c.end(t)
 			continue
 		}
 		ended = !c.writeTurn(t)
-		c.end()
+		c.end(t)
 		if ended {
 			c.finish()
 			continue
@@ -151,6 +155,7 @@
 	select {
 	case a = <-t.answer:
 	case <-c.ctx.Done():
+		go t.discard()
 		return false
 	}
 	if a == nil {
@@ -159,11 +164,46 @@
 	last := t.last || c.takeLast()
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := writeAnswer(c.raw, t.req, a, last); err != nil {
+		a.discard()
+		return false
+	}
+	if a.Rest != nil && c.writeRest(a) != nil {
 		return false
 	}
 	return !last
 }
 
+// writeRest passes the rest of an answer on until it ends or the caller goes.
+func (c *conn) writeRest(a *Answer) error {
+	stop := context.AfterFunc(c.ctx, a.Rest.Abort)
+	_, err := io.Copy(newBodyWriter(c.raw, a), a.Rest)
+	stop()
+	closed := a.Rest.Close()
+	if err == nil {
+		err = closed
+	}
+	if err == nil {
+		err = writeEnd(c.raw, a)
+	}
+	return err
+}
+
+// discard ends an answer that isn't written.
+func (a *Answer) discard() {
+	if a.Rest == nil {
+		return
+	}
+	a.Rest.Abort()
+	_ = a.Rest.Close()
+}
+
+// discard awaits an answer that isn't written and ends it.
+func (t *turn) discard() {
+	if a := <-t.answer; a != nil {
+		a.discard()
+	}
+}
+
 // finish ends the sending side after the last answer.
 func (c *conn) finish() {
 	c.cancel()
@@ -206,8 +246,9 @@
 	return c.closed
 }
 
-func (c *conn) end() {
+func (c *conn) end(t *turn) {
 	c.server.inFlight.Add(-1)
+	c.server.release(t.req)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -54,6 +54,9 @@
 		return nil, refusal, nil
 	}
 	req := newRequest(head, c.raw)
+	if c.surplus {
+		return req, c.server.handler.Refuse(magnolialedge.KindOverloaded, "too many connections are open"), nil
+	}
 	body, refusal, err := c.readBody(head, limits)
 	if err != nil || refusal != nil {
 		return req, refusal, err
@@ -137,6 +140,7 @@
 		Host:    head.Host,
 		Header:  head.Header,
 		HasBody: head.ContentLength != 0,
+		IsLast:  head.Close,
 		Arrived: time.Now(),
 		Remote:  raw.RemoteAddr().String(),
 	}
@@ -161,29 +165,51 @@
 			return nil, nil, err
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(&patientReader{c: c, r: head.Body}, most+1))
+	return c.readParts(head.Body, most)
+}
+
+func (c *conn) readParts(from io.Reader, most int64) ([]byte, *Answer, error) {
+	r := &bodyReader{c: c, r: io.LimitReader(from, most+1)}
+	body, err := io.ReadAll(r)
+	refuse := c.server.handler.Refuse
 	switch {
+	case errors.Is(err, errMemory):
+		c.server.bodies.give(r.held)
+		return nil, refuse(magnolialedge.KindOverloaded, err.Error()), nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, c.server.handler.Refuse(magnolialedge.KindRequestTimeout, "the request's body made no progress"), nil
+		c.server.bodies.give(r.held)
+		return nil, refuse(magnolialedge.KindRequestTimeout, "the request's body made no progress"), nil
 	case err != nil:
+		c.server.bodies.give(r.held)
 		return nil, nil, err
 	case int64(len(body)) > most:
-		return nil, c.server.handler.Refuse(magnolialedge.KindBodyTooLarge, "the request's body is too large"), nil
+		c.server.bodies.give(r.held)
+		return nil, refuse(magnolialedge.KindBodyTooLarge, "the request's body is too large"), nil
 	}
 	_ = c.raw.SetReadDeadline(time.Time{})
 	return body, nil, nil
 }
 
-// patientReader gives each part of a body its own time.
-type patientReader struct {
-	c *conn
-	r io.Reader
+// errMemory tells that the bodies in progress take all memory that is left to
+// them.
+var errMemory = errors.New("the bodies of other requests take all memory for bodies")
+
+// bodyReader gives each part of a body its own time, and counts its memory.
+type bodyReader struct {
+	c    *conn
+	r    io.Reader
+	held int64
 }
 
 // Read implements io.Reader.
-func (p *patientReader) Read(b []byte) (int, error) {
-	_ = p.c.raw.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
-	return p.r.Read(b)
+func (b *bodyReader) Read(p []byte) (int, error) {
+	_ = b.c.raw.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
+	n, err := b.r.Read(p)
+	if !b.c.server.bodies.take(int64(n)) {
+		return n, errMemory
+	}
+	b.held += int64(n)
+	return n, err
 }
 
 // limitedSource bounds the bytes that a head may take from the connection.
@@ -211,15 +237,3 @@
 	s.left -= int64(n)
 	return n, err
 }
-
-// wantsClose reports whether the caller sends nothing behind the request.
-func wantsClose(r *Request) bool {
-	for _, v := range r.Header["Connection"] {
-		for f := range strings.SplitSeq(v, ",") {
-			if strings.EqualFold(strings.TrimSpace(f), "close") {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"magnolialedge"
+	"magnolialedge/io/event"
 )
 
 // Request is a caller's whole request.
@@ -22,6 +26,8 @@
 	Body   []byte
 	// HasBody tells an empty body from none.
 	HasBody bool
+	// IsLast tells that the caller sends nothing behind the request.
+	IsLast bool
 	// Arrived is when the request's head had been read.
 	Arrived time.Time
 	Remote  string
@@ -31,12 +37,22 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	// Body is the whole body, or its begin if Rest isn't nil.
+	Body []byte
+	Rest Rest
 	// Length is stated in place of the body's length when it isn't negative,
-	// as answers to HEAD need it.
+	// as answers to HEAD and those with a Rest need it.
 	Length int64
 }
 
+// Rest is the part of an answer's body that is still to come. Whoever gets one
+// closes it.
+type Rest interface {
+	io.ReadCloser
+	// Abort makes a Read in progress fail.
+	Abort()
+}
+
 // Handler answers requests. The context ends when the caller has gone.
 type Handler interface {
 	// IsRepeatable reports whether a request may be run again when its answer
@@ -50,35 +66,69 @@
 	Limits() magnolialedge.CallerLimits
 }
 
+// Config constructs a Server.
+type Config struct {
+	Handler Handler
+	Log     event.Logger
+	// MostConns bounds the connections on which requests are answered; 0 stands
+	// for no bound. Beyond it unused connections are closed, and requests on new
+	// ones are refused.
+	MostConns int
+	// BodyMemory bounds the bytes of all bodies that are held at a time; 0 stands
+	// for no bound.
+	BodyMemory int64
+}
+
 // Server serves the connections of callers.
 type Server struct {
+	cfg      Config
 	handler  Handler
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	bodies   memory
 }
 
 // NewServer returns a Server.
-func NewServer(h Handler) *Server {
-	return &Server{handler: h, conns: map[*conn]struct{}{}}
+func NewServer(cfg Config) *Server {
+	return &Server{cfg: cfg, handler: cfg.Handler, conns: map[*conn]struct{}{}, bodies: memory{most: cfg.BodyMemory}}
 }
 
+// acceptPause is the time after which accepting goes on when it has failed, as
+// it does while all descriptors are in use.
+const acceptPause = 20 * time.Millisecond
+
 // Serve accepts connections until l is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		raw, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
-		c := newConn(s, raw)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		go c.serve()
+		if err != nil {
+			s.cfg.Log.Log(event.AcceptFailed, "err", err, "connections", s.Connections())
+			s.CloseIdle()
+			time.Sleep(acceptPause)
+			continue
+		}
+		go s.admit(raw).serve()
 	}
 }
 
+// admit counts a new connection.
+func (s *Server) admit(raw net.Conn) *conn {
+	c := newConn(s, raw)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg.MostConns > 0 && len(s.conns) >= s.cfg.MostConns {
+		c.surplus = true
+		s.closeIdle()
+	}
+	s.conns[c] = struct{}{}
+	return c
+}
+
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 {
 	return s.inFlight.Load()
@@ -100,11 +150,22 @@
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closeIdle()
+}
+
+func (s *Server) closeIdle() {
 	for c := range s.conns {
 		c.closeIfIdle()
 	}
 }
 
+// release gives back the memory of a request's body.
+func (s *Server) release(r *Request) {
+	if r != nil {
+		s.bodies.give(int64(len(r.Body)))
+	}
+}
+
 func (s *Server) forget(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -19,7 +19,8 @@
 const (
 	// bufferBytes is the size of a connection's read buffer.
 	bufferBytes = 4 << 10
-	// mostAnswer bounds an answer's body, in bytes.
+	// mostAnswer bounds the body of an answer that isn't passed on while it is
+	// read, in bytes.
 	mostAnswer = 16 << 20
 	// mostForeign bounds the answers to other requests that are read past.
 	mostForeign = 3
@@ -52,6 +53,8 @@
 	spoiled bool
 	// provenAt is when the upstream last answered on it.
 	provenAt time.Time
+	// till is the deadline of the request in progress.
+	till time.Time
 }
 
 func newConn(raw net.Conn, to magnolialedge.Registration, d magnolialedge.Dialect, opening time.Duration) *Conn {
@@ -137,12 +140,14 @@
 	Left time.Duration
 }
 
-// Answer is an upstream's whole answer.
+// Answer is an upstream's answer.
 type Answer struct {
 	Status int
 	Header http.Header
-	Body   []byte
-	// Length is the length that a bodyless answer states, or -1.
+	// Body is the whole body, or its begin if Rest isn't nil.
+	Body []byte
+	Rest *Rest
+	// Length is the length of the body that the answer states, or -1.
 	Length int64
 	// Reading is what the answer tells of the upstream's load.
 	Reading   magnolialedge.Reading
@@ -158,10 +163,24 @@
 	Written bool
 }
 
-// Exchange sends a request and reads its whole answer. Answers to other
-// requests are read past.
+// IsBad reports whether the answer claims a success that can't be passed on as
+// one.
+func (a *Answer) IsBad() bool {
+	success := a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
+	encoded := a.Header.Get("Content-Encoding") != ""
+	return !a.NotRun && (encoded || (success && !a.Signature))
+}
+
+// IsFailure reports whether the answer tells of a failure of the upstream.
+func (a *Answer) IsFailure() bool {
+	return a.Status >= http.StatusInternalServerError
+}
+
+// Exchange sends a request and reads its answer, a long one up to its Rest.
+// Answers to other requests are read past. The end of ctx doesn't end a Rest.
 func (c *Conn) Exchange(ctx context.Context, req *Request) (*Answer, Sent, error) {
 	defer c.watch(ctx)()
+	c.till = time.Now().Add(req.Left)
 	head := c.head(req)
 	if len(req.Body) <= smallBody {
 		n, err := c.raw.Write(append(head, req.Body...))
@@ -221,12 +240,11 @@
 		if err != nil {
 			return nil, err
 		}
-		body, err := c.readBody(resp)
-		if err != nil {
-			return nil, err
-		}
 		if resp.Header.Get(c.dialect.RequestID) == req.ID {
-			return c.toAnswer(resp, body), nil
+			return c.ownAnswer(resp)
+		}
+		if _, err := c.readBody(resp); err != nil {
+			return nil, err
 		}
 		c.spoiled = true
 		if resp.Header.Get(c.dialect.RequestID) == "" {
@@ -236,11 +254,32 @@
 	return nil, errForeign
 }
 
-func (c *Conn) toAnswer(resp *http.Response, body []byte) *Answer {
+// ownAnswer reads the body of the request's own answer. What can't be passed on
+// as it is comes whole.
+func (c *Conn) ownAnswer(resp *http.Response) (*Answer, error) {
+	a := c.newAnswer(resp)
+	var err error
+	if a.NotRun || a.IsBad() || a.IsFailure() {
+		a.Body, err = c.readBody(resp)
+		return a, err
+	}
+	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, heldAnswer))
+	if err != nil {
+		c.spoiled = true
+		return nil, err
+	}
+	if len(a.Body) == heldAnswer {
+		a.Rest = newRest(c, resp)
+		return a, nil
+	}
+	c.ended(resp)
+	return a, nil
+}
+
+func (c *Conn) newAnswer(resp *http.Response) *Answer {
 	a := &Answer{
 		Status:    resp.StatusCode,
 		Header:    resp.Header,
-		Body:      body,
 		Length:    resp.ContentLength,
 		Signature: resp.Header.Get(c.dialect.Signature) != "",
 		NotRun:    resp.Header.Get(c.dialect.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
@@ -277,10 +316,15 @@
 		c.spoiled = true
 		return nil, errTooLarge
 	}
+	c.ended(resp)
+	return body, nil
+}
+
+// ended takes what the end of an answer tells of the connection.
+func (c *Conn) ended(resp *http.Response) {
 	c.provenAt = time.Now()
 	c.spoiled = c.spoiled || resp.Close
 	c.learnIdleLife(resp.Header.Get("Keep-Alive"))
-	return body, nil
 }
 
 // learnIdleLife reads "timeout=5, max=100".
--- /dev/null
+++ b/io/link/rest.go
@@ -0,0 +1,62 @@
+package link
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// heldAnswer is the greatest part of an answer's body that is held before it is
+// passed on, in bytes. Up to there a broken answer is seen before its caller has
+// got any of it.
+const heldAnswer = 256 << 10
+
+// ErrRestClosed tells that a Rest was closed before its end.
+var ErrRestClosed = errors.New("the rest of the answer was closed")
+
+// Rest is the part of a long answer's body that is still to come. The connection
+// is in use until Close.
+type Rest struct {
+	conn *Conn
+	resp *http.Response
+	// err is what ended the reading.
+	err error
+}
+
+// newRest bounds the rest by the request's deadline.
+func newRest(c *Conn, resp *http.Response) *Rest {
+	_ = c.raw.SetReadDeadline(c.till)
+	return &Rest{conn: c, resp: resp}
+}
+
+// Read implements io.Reader. It may be called by one goroutine only.
+func (r *Rest) Read(b []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	n, err := r.resp.Body.Read(b)
+	r.err = err
+	return n, err
+}
+
+// Abort makes a Read in progress fail. It may be called beside Read and Close.
+func (r *Rest) Abort() {
+	_ = r.conn.raw.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Close ends the use of the connection. It returns nil if the body has been read
+// to its end.
+func (r *Rest) Close() error {
+	if errors.Is(r.err, io.EOF) {
+		r.conn.ended(r.resp)
+		_ = r.conn.raw.SetReadDeadline(time.Time{})
+		return nil
+	}
+	if r.err == nil {
+		r.err = ErrRestClosed
+	}
+	r.conn.spoiled = true
+	return r.err
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -61,6 +61,12 @@
 }
 
 const (
+	// callersFiles is the part of the descriptors that connections of callers
+	// may take; the others are for upstreams, the store and peers.
+	callersFiles = 0.5
+	// bodiesMemory is the part of the memory that the bodies of requests may
+	// take. While one is read up to twice its size is in use.
+	bodiesMemory = 0.2
 	// crossZonePerKB and crossRegionPerKB are the waits that are worth one
 	// kilobyte over such links.
 	crossZonePerKB   = 4 * time.Millisecond
@@ -95,7 +101,12 @@
 		Retries:  proc.RetryLimits{Share: s.RetryShare, Extra: s.RetryExtra},
 		TellLost: n.tellLost,
 	})
-	n.callers = front.NewServer(n.forwarder)
+	n.callers = front.NewServer(front.Config{
+		Handler:    n.forwarder,
+		Log:        n.log,
+		MostConns:  int(float64(s.Files) * callersFiles),
+		BodyMemory: int64(float64(s.MemoryMB) * (1 << 20) * bodiesMemory),
+	})
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "magnolialedge", Name: "store_calls_total", Help: "Calls to the platform's store.",
 	}, []string{"call"})
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -14,10 +14,6 @@
 	"magnolialedge/io/link"
 )
 
-// statusFailed is the least status of an answer that tells of a failure of the
-// upstream.
-const statusFailed = http.StatusInternalServerError
-
 // result is how one attempt ended.
 type result struct {
 	answer *link.Answer
@@ -26,6 +22,8 @@
 	// bad tells that the answer can't be passed on as a success.
 	bad   bool
 	story attemptStory
+	// rest is the part of a long answer that is still to come, or nil.
+	rest *rest
 	// reached tells that the request may have reached the upstream.
 	reached bool
 	err     error
@@ -37,6 +35,12 @@
 	answer, sent, err := p.conn.Exchange(ctx, x.request())
 	took := time.Since(begun)
 	r := x.judge(answer, sent, err)
+	x.readLoad(p, r)
+	if r.answer != nil && r.answer.Rest != nil {
+		r.story = x.tell(p, "answered", took)
+		r.rest = &rest{Rest: r.answer.Rest, x: x, p: p, took: took}
+		return r
+	}
 	r.story = x.learn(ctx, p, r, took)
 	x.f.cfg.Pool.Put(p.conn)
 	return r
@@ -60,21 +64,22 @@
 	if err != nil {
 		return result{err: err, notRun: !sent.Written, reached: sent.Written}
 	}
-	r := result{answer: answer, reached: true, notRun: answer.NotRun}
-	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
-	encoded := answer.Header.Get("Content-Encoding") != ""
-	r.bad = !answer.NotRun && (encoded || (success && !answer.Signature))
-	return r
+	return result{answer: answer, reached: true, notRun: answer.NotRun, bad: answer.IsBad()}
+}
+
+// readLoad takes what the answer tells of the upstream's load.
+func (x *exchange) readLoad(p *placement, r result) {
+	if r.answer == nil || !r.answer.HasLoad {
+		return
+	}
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	x.f.fleet.Read(time.Now(), p.ID, r.answer.Reading)
 }
 
 // learn tells the decisions how the attempt ended.
 func (x *exchange) learn(ctx context.Context, p *placement, r result, took time.Duration) attemptStory {
 	end, name := x.ending(ctx, r, p, took)
-	if r.answer != nil && r.answer.HasLoad {
-		x.f.mu.Lock()
-		x.f.fleet.Read(time.Now(), p.ID, r.answer.Reading)
-		x.f.mu.Unlock()
-	}
 	story := x.tell(p, name, took)
 	x.f.end(p, x.need, took, end)
 	if r.err != nil && r.reached && ctx.Err() == nil {
@@ -105,7 +110,7 @@
 		return pick.EndedRefused, "refused"
 	case r.bad:
 		return pick.EndedFailed, "bad"
-	case r.answer.Status >= statusFailed:
+	case r.answer.IsFailure():
 		return pick.EndedFailed, "failed"
 	}
 	return pick.EndedWell, "answered"
@@ -116,7 +121,7 @@
 func (x *exchange) settle(ctx context.Context, r result) *front.Answer {
 	whole := r.err == nil && !r.notRun && !r.bad
 	if r.isGood() || (whole && !x.need.Repeatable) {
-		return x.pass(r.answer)
+		return x.pass(r)
 	}
 	x.setAside(r)
 	if ctx.Err() == nil && x.mayTryAgain(r) {
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -51,6 +51,8 @@
 	waited time.Duration
 	story  []attemptStory
 	kind   magnolialedge.Kind
+	// cut tells that the answer ended before it was whole.
+	cut bool
 }
 
 // attemptStory is what a log line tells of one attempt.
@@ -240,7 +242,7 @@
 // giveUp answers a request for which no upstream is to be had.
 func (x *exchange) giveUp(ctx context.Context, kind magnolialedge.Kind) *front.Answer {
 	if x.spare != nil {
-		return x.pass(x.spare)
+		return x.pass(result{answer: x.spare})
 	}
 	if ctx.Err() != nil {
 		kind = magnolialedge.KindDeadlineExceeded
@@ -296,12 +298,17 @@
 }
 
 // pass returns an upstream's answer as its caller gets it.
-func (x *exchange) pass(a *link.Answer) *front.Answer {
+func (x *exchange) pass(r result) *front.Answer {
 	d := x.f.cfg.Dialect
-	return &front.Answer{
-		Status: a.Status,
-		Header: endToEnd(a.Header, d.Load, d.Instance, d.NotRun),
-		Body:   a.Body,
-		Length: a.Length,
+	a := &front.Answer{
+		Status: r.answer.Status,
+		Header: endToEnd(r.answer.Header, d.Load, d.Instance, d.NotRun),
+		Body:   r.answer.Body,
+		Length: r.answer.Length,
 	}
+	if r.rest != nil {
+		r.rest.answer = a
+		a.Rest = r.rest
+	}
+	return a
 }
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -131,10 +132,19 @@
 }
 
 // Answer implements front.Handler.
-func (f *Forwarder) Answer(ctx context.Context, r *front.Request) *front.Answer {
+func (f *Forwarder) Answer(ctx context.Context, r *front.Request) (a *front.Answer) {
 	x := f.newExchange(r)
-	a := x.run(ctx)
-	x.report(a)
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.cfg.Log.Log(event.RequestPanicked, "requestId", x.id, "cause", cause, "stack", string(debug.Stack()))
+			a = x.refuse(magnolialedge.KindInternal, 0)
+			x.report(a)
+		}
+	}()
+	a = x.run(ctx)
+	if a.Rest == nil {
+		x.report(a)
+	}
 	return a
 }
 
--- a/io/serve/rescue.go
+++ b/io/serve/rescue.go
@@ -25,6 +25,7 @@
 	begun := time.Now()
 	go func() { ended <- x.attempt(ctx, p) }()
 	running, second := 1, false
+	defer func() { go abandon(ended, running) }()
 	ticks := time.NewTicker(progressEvery)
 	defer ticks.Stop()
 	for {
@@ -50,6 +51,15 @@
 	}
 }
 
+// abandon closes what attempts bring that are of no use any more.
+func abandon(ended <-chan result, running int) {
+	for range running {
+		if r := <-ended; r.rest != nil {
+			r.rest.discard()
+		}
+	}
+}
+
 // received takes the end of an attempt into the request's story.
 func (x *exchange) received(r result) result {
 	x.story = append(x.story, r.story)
@@ -63,7 +73,7 @@
 }
 
 func (r result) isGood() bool {
-	return r.err == nil && !r.notRun && !r.bad && r.answer.Status < statusFailed
+	return r.err == nil && !r.notRun && !r.bad && !r.answer.IsFailure()
 }
 
 // setAside keeps a failure of one attempt while another is in progress.
--- /dev/null
+++ b/io/serve/rest.go
@@ -0,0 +1,54 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge/core/pick"
+	"magnolialedge/io/event"
+	"magnolialedge/io/front"
+	"magnolialedge/io/link"
+)
+
+// rest passes on the part of a long answer that is still to come. The request
+// counts as in flight at its upstream until then. It implements front.Rest.
+type rest struct {
+	*link.Rest
+	x *exchange
+	p *placement
+	// took is the time until the answer began.
+	took   time.Duration
+	answer *front.Answer
+}
+
+// Close ends the request.
+func (r *rest) Close() error {
+	err := r.end()
+	if err != nil {
+		r.x.cut = true
+	}
+	r.x.report(r.answer)
+	return err
+}
+
+// discard ends an attempt of which the answer isn't used.
+func (r *rest) discard() {
+	_ = r.end()
+}
+
+func (r *rest) end() error {
+	f := r.x.f
+	err := r.Rest.Close()
+	switch {
+	case err == nil:
+		f.end(r.p, r.x.need, r.took, pick.EndedWell)
+	case errors.Is(err, link.ErrRestClosed):
+		f.end(r.p, r.x.need, r.took, pick.EndedCancelled)
+	default:
+		f.end(r.p, r.x.need, r.took, pick.EndedFailed)
+		f.cfg.Log.Log(event.UpstreamLost, "service", r.x.need.Service, "upstream", r.p.ID, "requestId", r.x.id, "err", err)
+	}
+	f.cfg.Pool.Put(r.p.conn)
+	return err
+}
--- a/io/serve/story.go
+++ b/io/serve/story.go
@@ -13,8 +13,11 @@
 func (x *exchange) report(a *front.Answer) {
 	took := time.Since(x.req.Arrived)
 	result := "answered"
-	if x.kind != "" {
+	switch {
+	case x.kind != "":
 		result = string(x.kind)
+	case x.cut:
+		result = "cut"
 	}
 	m := x.f.cfg.Metrics
 	m.Requests.WithLabelValues(x.match.Name, result).Inc()
