Add a soak of separate processes under random faults

Cause: nothing injected faults into running entries of the users' platform from outside; the proofs on processes covered the former path only. Change: `standin soak` runs entries as processes of their own behind links to a stand-in store and upstreams on loopback. It pauses, kills, stops and hangs up on entries, lets the store and its links fail (cut, frozen, silent, one way, slow), loses its history, lets upstreams fail, die, come back under their id and drain, and changes the configuration in quick succession, three faults at a time. It checks answers, refusals, runs at most once, planned stops, drains, versions and the budget of retries from the callers' and the upstreams' side.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -23,6 +23,7 @@
 	Measure  measureCommand  `cmd:"" help:"Measure the decisions against the naive ones, and print a table."`
 	Slopes   slopesCommand   `cmd:"" help:"Measure what entries cost without requests, over their number and that of targets."`
 	Prove    proveCommand    `cmd:"" help:"Meet faults under load and check what must always hold."`
+	Soak     soakCommand     `cmd:"" help:"Run entries on a stand-in of the users' platform as separate processes, under random faults, and check what must always hold."`
 }
 
 func main() {
--- a/cmd/standin/routed.go
+++ b/cmd/standin/routed.go
@@ -37,6 +37,9 @@
 }
 
 const (
+	// routedTimeout is the deadline of the calls that measure.
+	routedTimeout = 2 * time.Second
+
 	entryIP     = "127.0.0.1"
 	noiseFactor = 7
 )
@@ -159,20 +162,12 @@
 }
 
 func (m *measurement) one(address string, i int, at time.Time) {
-	status := 0
-	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/reads/%d", address, i), nil)
-	if err == nil {
-		d := platform.Dialect()
-		req.Host = stand.Host
-		req.Header.Set(d.RequestID, strconv.Itoa(i))
-		req.Header.Set(d.Deadline, "2000")
-		var resp *http.Response
-		if resp, err = m.client.Do(req); err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-			status = resp.StatusCode
-		}
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), routedTimeout)
+	defer cancel()
+	reply, _ := stand.Send(ctx, m.client, address, stand.Call{
+		ID: strconv.Itoa(i), Method: http.MethodGet, Path: fmt.Sprintf("/reads/%d", i), Timeout: routedTimeout,
+	})
+	status := reply.Status
 	took := time.Since(at)
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/io/soak/world.go
@@ -0,0 +1,157 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	platform "magnolialedge/platform/stand"
+)
+
+// Config constructs a soak.
+type Config struct {
+	// Program is the path of the entries' program.
+	Program string
+	// Folder takes settings and logs.
+	Folder    string
+	Entries   int
+	Upstreams int
+	// Rate is the number of calls a second from each region.
+	Rate float64
+	// Length is how long faults are injected.
+	Length time.Duration
+	Seed   uint64
+	// Report takes a line for each fault.
+	Report io.Writer
+}
+
+// zones are the availability zones of the soak, and regions their regions.
+var (
+	zones   = []string{"east-a", "west-a", "east-b"}
+	regions = map[string]string{"east-a": "east", "east-b": "east", "west-a": "west"}
+)
+
+// world is all that a soak runs.
+type world struct {
+	cfg     Config
+	store   *platform.Store
+	entries []*entry
+	ups     []*upstream
+	calm    *calm
+
+	mu       sync.Mutex
+	version  int64
+	changes  []change
+	breaches []string
+	// busy holds what a fault of its whole life strikes now.
+	busy map[any]bool
+}
+
+func newWorld(cfg Config) (*world, error) {
+	w := &world{cfg: cfg, store: platform.NewStore(), calm: newCalm(), busy: map[any]bool{}}
+	w.configure()
+	for i := range cfg.Upstreams {
+		u, err := newUpstream(w.store, i, zones[i%len(zones)])
+		if err != nil {
+			return w, err
+		}
+		w.ups = append(w.ups, u)
+	}
+	for i := range cfg.Entries {
+		e, err := newEntry(cfg, i, zones[i%len(zones)], w.store)
+		if err != nil {
+			return w, err
+		}
+		w.entries = append(w.entries, e)
+	}
+	for i, e := range w.entries {
+		e.settings.Seeds = []string{w.entries[(i+1)%len(w.entries)].settings.Peers, w.entries[(i+2)%len(w.entries)].settings.Peers}
+		if err := e.start(); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+// configure writes the next version of the configuration.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	w.store.Configure(w.version, 3*work)
+	w.changes = append(w.changes, change{version: w.version, at: time.Now()})
+}
+
+// breach records that something did not hold.
+func (w *world) breach(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.breaches = append(w.breaches, fmt.Sprintf(format, args...))
+}
+
+func (w *world) nameOf(address string) string {
+	for _, e := range w.entries {
+		if e.settings.Callers == address {
+			return e.settings.Name
+		}
+	}
+	return address
+}
+
+// take draws an entry whose process may be ended and keeps others from it. It
+// returns nil if another fault holds it.
+func (w *world) take(r *rand.Rand) *entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.entries[r.IntN(len(w.entries))]
+	if w.busy[e] {
+		return nil
+	}
+	w.busy[e] = true
+	return e
+}
+
+func (w *world) give(e *entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.busy, e)
+}
+
+func (w *world) takeUpstream(r *rand.Rand) *upstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := w.ups[r.IntN(len(w.ups))]
+	if w.busy[u] {
+		return nil
+	}
+	w.busy[u] = true
+	return u
+}
+
+func (w *world) giveUpstream(u *upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.busy, u)
+}
+
+// restart runs an entry's program again.
+func (w *world) restart(e *entry) error {
+	return e.start()
+}
+
+func (w *world) close() {
+	for _, e := range w.entries {
+		if p := e.running(); p != nil {
+			p.signal(syscall.SIGCONT)
+			e.finish(syscall.SIGKILL)
+		}
+		_ = e.near.Close()
+	}
+	for _, u := range w.ups {
+		u.close()
+	}
+	w.store.Close()
+}
--- a/io/stand/link.go
+++ b/io/stand/link.go
@@ -24,10 +24,14 @@
 	// SilentPercent is the share of open connections that Silent affects; 0
 	// stands for all.
 	SilentPercent int `json:"silentPercent"`
+	// DropThere and DropBack drop the bytes of one direction, also on new
+	// connections.
+	DropThere bool `json:"dropThere"`
+	DropBack  bool `json:"dropBack"`
 }
 
-// Link is an HTTP CONNECT gateway that adds delay and can be cut or fall
-// silent.
+// Link is an HTTP CONNECT gateway, or a forwarding listener, that adds delay and
+// can be cut or fall silent.
 type Link struct {
 	mu        sync.Mutex
 	behaviour LinkBehaviour
@@ -127,13 +131,43 @@
 		_ = far.Close()
 		return
 	}
+	l.join(near, far)
+}
+
+// Forward passes each connection that on accepts to the address that to returns,
+// until on is closed.
+func (l *Link) Forward(on net.Listener, to func() string) {
+	for {
+		near, err := on.Accept()
+		if err != nil {
+			return
+		}
+		go l.forward(near, to())
+	}
+}
+
+func (l *Link) forward(near net.Conn, to string) {
+	if l.now().Cut {
+		_ = near.Close()
+		return
+	}
+	far, err := net.DialTimeout("tcp", to, time.Second)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	l.join(near, far)
+}
+
+// join carries bytes between two ends until both are closed.
+func (l *Link) join(near, far net.Conn) {
 	c := &linkConn{ends: [2]net.Conn{near, far}}
 	l.mu.Lock()
 	l.conns[c] = true
 	l.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { l.carry(c, near, far) })
-	wg.Go(func() { l.carry(c, far, near) })
+	wg.Go(func() { l.carry(c, near, far, dropsThere) })
+	wg.Go(func() { l.carry(c, far, near, dropsBack) })
 	wg.Wait()
 	l.mu.Lock()
 	delete(l.conns, c)
@@ -165,9 +199,12 @@
 // mostChunks bounds what is under way in one direction of a connection.
 const mostChunks = 1024
 
-func (l *Link) carry(c *linkConn, from, to net.Conn) {
+func dropsThere(b LinkBehaviour) bool { return b.DropThere }
+func dropsBack(b LinkBehaviour) bool  { return b.DropBack }
+
+func (l *Link) carry(c *linkConn, from, to net.Conn, drops func(LinkBehaviour) bool) {
 	chunks := make(chan chunk, mostChunks)
-	go l.deliver(c, to, chunks)
+	go l.deliver(c, to, chunks, drops)
 	defer close(chunks)
 	for {
 		buf := make([]byte, 16<<10)
@@ -181,7 +218,7 @@
 	}
 }
 
-func (l *Link) deliver(c *linkConn, to net.Conn, chunks chan chunk) {
+func (l *Link) deliver(c *linkConn, to net.Conn, chunks chan chunk, drops func(LinkBehaviour) bool) {
 	defer func() {
 		if !c.isSilent() {
 			c.close()
@@ -192,7 +229,7 @@
 		for l.now().Frozen && !c.isSilent() {
 			time.Sleep(frozenStep)
 		}
-		if c.isSilent() {
+		if c.isSilent() || drops(l.now()) {
 			continue
 		}
 		if _, err := to.Write(ch.data); err != nil {
