Let entries that were killed leave the resolve answers at once

Cause: a killed entry stayed in the answers until its lease ran out, by now up to 5 s, though those that it streamed changes to or from see their connection end in the same moment. Ruled out: silence as a sign: a paused or cut off entry may still serve callers and come back; only a refused connection counts, the lease does the rest. Change: whoever loses a stream connects to the entry at its other end; if that refuses, the run that began at its start time counts as ended. The two sources of a region tell all others. A later start overrides it.

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -25,6 +25,7 @@
 	SourceLost          = Event{2011, "sourceLost", Info, "Another entry passes changes of the store on no more."}
 	PeerUnreachable     = Event{2012, "peerUnreachable", Info, "A message to another entry was not taken."}
 	MemberHeard         = Event{2013, "memberHeard", Info, "Another entry said that it has started or leaves."}
+	MemberGone          = Event{2014, "memberGone", Info, "Another entry was found to have ended without leaving."}
 	UpstreamLost        = Event{3001, "upstreamLost", Warning, "A connection broke after a request was written to an upstream."}
 	UpstreamDraining    = Event{3002, "upstreamDraining", Info, "An upstream said that it drains."}
 	ConnectionStalled   = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
@@ -52,7 +53,7 @@
 		StopForced, SettingsReloaded, SettingsRejected, AnnounceFailed,
 		LinesDropped, AcceptFailed, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
-		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard,
+		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt, KeyTableFull, HandedOver,
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -46,7 +46,14 @@
 	// Seeds are peer addresses known from the start, from which a new entry
 	// learns what they know while the store gives no answer.
 	Seeds []string
-	Log   event.Logger
+	// Name is what this entry calls itself at its sources.
+	Name string
+	// OnReaderLost is told the name of an entry whose stream from here has ended,
+	// and OnSourceLost the address of one whose stream to here has; both may be
+	// nil.
+	OnReaderLost func(name string)
+	OnSourceLost func(address string)
+	Log          event.Logger
 }
 
 // Follower keeps a mirror of a store.
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,8 @@
 	mostLine = 64 << 20
 	// StreamPath is the path at which an entry passes changes on.
 	StreamPath = "/v1/changes"
+	// readerParam names the entry that asks for changes.
+	readerParam = "reader"
 )
 
 var errStale = errors.New("the source has not reached the store of late")
@@ -59,6 +62,9 @@
 		begun := time.Now()
 		err := f.follow(ctx, address, mostStreamAge)
 		f.cfg.Log.Log(event.SourceLost, "source", address, "err", err, "revision", f.Revision())
+		if f.cfg.OnSourceLost != nil {
+			f.cfg.OnSourceLost(address)
+		}
 		if time.Since(begun) > mostStreamAge {
 			return true
 		}
@@ -109,7 +115,7 @@
 	defer cancel()
 	silence := time.AfterFunc(streamSilence, cancel)
 	defer silence.Stop()
-	body, err := f.cfg.Peers.Open(ctx, address, StreamPath)
+	body, err := f.cfg.Peers.Open(ctx, address, StreamPath+"?"+readerParam+"="+url.QueryEscape(f.cfg.Name))
 	if err != nil {
 		return err
 	}
@@ -190,6 +196,7 @@
 	}
 	first, sub := f.subscribe()
 	defer f.unsubscribe(sub)
+	defer f.readerLost(r.URL.Query().Get(readerParam))
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	if !f.send(w, first) {
 		return
@@ -215,6 +222,12 @@
 	}
 }
 
+func (f *Follower) readerLost(name string) {
+	if name != "" && f.cfg.OnReaderLost != nil {
+		go f.cfg.OnReaderLost(name)
+	}
+}
+
 func (f *Follower) send(w http.ResponseWriter, m message) bool {
 	m.AgeMs = f.Age(time.Now()).Milliseconds()
 	line, err := json.Marshal(m)
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -51,6 +51,7 @@
 		n.forwarder.Quarantine(m.Fingerprint, m.Losses)
 		return c.NoContent(http.StatusNoContent)
 	})
+	e.POST(gonePath, n.handleLoss)
 	e.POST(memberPath, func(c echo.Context) error {
 		var in magnolialedge.Instance
 		if err := json.NewDecoder(io.LimitReader(c.Request().Body, mostMessage)).Decode(&in); err != nil {
--- /dev/null
+++ b/io/node/loss.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"magnolialedge"
+	"magnolialedge/io/event"
+)
+
+const (
+	// lookTimeout bounds the look whether an entry has ended.
+	lookTimeout = 300 * time.Millisecond
+	// lookDelay leaves an ending process the time to close its listeners.
+	lookDelay = 20 * time.Millisecond
+	// gonePath is where entries tell each other of ended ones.
+	gonePath = "/v1/gone"
+)
+
+// loss tells that the run of an entry that began at StartedAt has ended.
+type loss struct {
+	Name      string `json:"name"`
+	StartedAt int64  `json:"startedAt"`
+}
+
+// readerLost looks after an entry whose stream from here has ended.
+func (n *Node) readerLost(name string) {
+	n.look(func(in magnolialedge.Instance) bool { return in.Name == name })
+}
+
+// sourceLost looks after an entry whose stream to here has ended.
+func (n *Node) sourceLost(address string) {
+	go n.look(func(in magnolialedge.Instance) bool { return in.Peers == address })
+}
+
+// look finds out whether an entry has ended. Only a machine that refuses the
+// connection counts: one that is silent may be paused or cut off, and is left to
+// its lease.
+func (n *Node) look(match func(magnolialedge.Instance) bool) {
+	in, ok := n.members.find(match)
+	if !ok || n.leaving.Load() {
+		return
+	}
+	time.Sleep(lookDelay)
+	c, err := net.DialTimeout("tcp", in.Peers, lookTimeout)
+	if err == nil {
+		_ = c.Close()
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	l := loss{Name: in.Name, StartedAt: in.StartedAt}
+	if n.takeLoss(l, "own look") && n.tells(in) {
+		n.tellPeers(gonePath, l)
+	}
+}
+
+// tells reports whether this entry is one that tells all others of an ended one:
+// a source of the region that isn't the ended one.
+func (n *Node) tells(ended magnolialedge.Instance) bool {
+	sources := n.members.ranked()
+	sources = slices.DeleteFunc(sources, func(in magnolialedge.Instance) bool { return in.Name == ended.Name })
+	first := min(sourcesPerRegion, len(sources))
+	return slices.ContainsFunc(sources[:first], func(in magnolialedge.Instance) bool { return in.Name == n.settings.Name })
+}
+
+func (n *Node) takeLoss(l loss, from string) bool {
+	if !n.members.lose(l) {
+		return false
+	}
+	n.log.Log(event.MemberGone, "member", l.Name, "startedAt", l.StartedAt, "from", from)
+	return true
+}
+
+// handleLoss takes another entry's word on an ended one.
+func (n *Node) handleLoss(c echo.Context) error {
+	var l loss
+	if err := json.NewDecoder(io.LimitReader(c.Request().Body, mostMessage)).Decode(&l); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	n.takeLoss(l, c.RealIP())
+	return c.NoContent(http.StatusNoContent)
+}
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -36,12 +36,14 @@
 	// store's list while the store can't be written.
 	told map[string]magnolialedge.Instance
 	left bool
+	// gone holds when entries had started that were found to have ended.
+	gone map[string]int64
 	// dropped tells that the store has ceased to list this entry.
 	dropped bool
 }
 
 func newMembers(self magnolialedge.Instance) *members {
-	return &members{self: self, byID: map[string]magnolialedge.Instance{}, told: map[string]magnolialedge.Instance{}}
+	return &members{self: self, byID: map[string]magnolialedge.Instance{}, told: map[string]magnolialedge.Instance{}, gone: map[string]int64{}}
 }
 
 // take takes a change if it concerns an entry.
@@ -56,6 +58,7 @@
 	if c.Deleted || json.Unmarshal(c.Value, &in) != nil {
 		delete(m.byID, name)
 		delete(m.told, name)
+		delete(m.gone, name)
 		m.dropped = m.dropped || name == m.self.Name
 		return true
 	}
@@ -88,13 +91,41 @@
 	self.Leaving = m.left
 	out := []magnolialedge.Instance{self}
 	for name, in := range m.byID {
-		if name != self.Name {
-			out = append(out, m.latest(in))
+		in = m.latest(in)
+		if name != self.Name && !m.hasEnded(in) {
+			out = append(out, in)
 		}
 	}
 	return out
 }
 
+func (m *members) hasEnded(in magnolialedge.Instance) bool {
+	ended, known := m.gone[in.Name]
+	return known && in.StartedAt <= ended
+}
+
+// lose takes that an entry has ended, and reports whether that is news.
+func (m *members) lose(l loss) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	in, listed := m.byID[l.Name]
+	if !listed || l.Name == m.self.Name || m.hasEnded(m.latest(in)) || l.StartedAt < m.latest(in).StartedAt {
+		return false
+	}
+	m.gone[l.Name] = l.StartedAt
+	return true
+}
+
+// find returns the live entry that is told by match, or false.
+func (m *members) find(match func(magnolialedge.Instance) bool) (magnolialedge.Instance, bool) {
+	for _, in := range m.list() {
+		if in.Name != m.self.Name && match(in) {
+			return in, true
+		}
+	}
+	return magnolialedge.Instance{}, false
+}
+
 // size returns the number of listed entries.
 func (m *members) size() int {
 	m.mu.Lock()
--- a/io/node/members_test.go
+++ b/io/node/members_test.go
@@ -107,3 +107,31 @@
 	m.hear(left)
 	require.Len(t, m.addresses("shop.example", "east"), 2)
 }
+
+func TestEntryThatHasEndedLeavesTheAnswersUntilItStartsAgain(t *testing.T) {
+	m := newMembers(magnolialedge.Instance{Name: "e1", Region: "east"})
+	listed := func(startedAt int64) {
+		value, err := json.Marshal(magnolialedge.Instance{Name: "e2", Region: "east", StartedAt: startedAt})
+		require.NoError(t, err)
+		m.take(magnolialedge.Item{Key: membersPrefix + "e2", Value: value})
+	}
+	require.False(t, m.lose(loss{Name: "e2", StartedAt: 5}))
+	listed(5)
+	require.Len(t, m.list(), 2)
+	require.True(t, m.lose(loss{Name: "e2", StartedAt: 5}))
+	require.False(t, m.lose(loss{Name: "e2", StartedAt: 5}))
+	require.Len(t, m.list(), 1)
+	listed(5)
+	require.Len(t, m.list(), 1)
+	m.hear(magnolialedge.Instance{Name: "e2", Region: "east", StartedAt: 6})
+	require.Len(t, m.list(), 2)
+	require.False(t, m.lose(loss{Name: "e2", StartedAt: 5}))
+	require.Len(t, m.list(), 2)
+}
+
+func TestEntryIsNotTakenForEndedByItself(t *testing.T) {
+	m := newMembers(magnolialedge.Instance{Name: "e1", Region: "east", StartedAt: 5})
+	m.take(magnolialedge.Item{Key: membersPrefix + "e1", Value: []byte(`{"name":"e1","startedAt":5}`)})
+	require.False(t, m.lose(loss{Name: "e1", StartedAt: 5}))
+	require.Len(t, m.list(), 1)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -115,13 +115,16 @@
 	n.peers = &http.Client{Transport: dialer.Transport("")}
 	n.members = newMembers(n.self())
 	n.follower = mirror.NewFollower(mirror.Config{
-		Store:    n.store,
-		OnChange: n.take,
-		Sources:  n.members.sources,
-		Others:   n.members.others,
-		Peers:    peerStreams{client: n.peers},
-		Seeds:    n.seeds(),
-		Log:      n.log,
+		Store:        n.store,
+		OnChange:     n.take,
+		Sources:      n.members.sources,
+		Others:       n.members.others,
+		Peers:        peerStreams{client: n.peers},
+		Seeds:        n.seeds(),
+		Name:         s.Name,
+		OnReaderLost: n.readerLost,
+		OnSourceLost: n.sourceLost,
+		Log:          n.log,
 	})
 	return n, nil
 }
