Ask upstreams that tell no load less, and learn their slowness from answers

Before each send such upstreams were asked for a load that they don't tell, and there the question itself takes a slot or waits for one; a full upstream then counted as out of reach. Their slowness was never known. Change: after an answer without a load an upstream is asked for signs of life only, each 2 s; its slowness is what its last answer showed against the mean time of work, until that is old; a connection is proven within 15 ms or a new one is opened. Tests: TestUpstreamThatTellsNoLoadIsNotAskedBeforeEachRequest and TestAnswersTellHowSlowAnUpstreamIsThatTellsNoLoad fail before.

--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -67,7 +67,11 @@
 	// Trip is the round trip.
 	Trip time.Duration
 	// ReadAt is when the last reading was taken; zero for none.
-	ReadAt   time.Time
+	ReadAt time.Time
+	// IsMum tells that the upstream doesn't tell its load, and SeenAt is when
+	// such a one last gave a sign of life.
+	IsMum    bool
+	SeenAt   time.Time
 	Slowness float64
 	Load     float64
 	// FillsUp tells that the request takes the last slot.
@@ -83,11 +87,18 @@
 	// regions, where a reading is old when it arrives.
 	staleReading       = 35 * time.Millisecond
 	staleRemoteReading = 80 * time.Millisecond
+	// staleSign is the age from which a sign of life of an upstream that tells
+	// no load is taken anew. Asking one may take a slot or wait for it.
+	staleSign = 2 * time.Second
 )
 
-// IsFresh reports whether the reading is young enough to send a request by.
+// IsFresh reports whether what is known of the upstream is young enough to send
+// a request by.
 func (c Candidate) IsFresh(now time.Time) bool {
-	if c.Local {
+	switch {
+	case c.IsMum:
+		return now.Sub(c.SeenAt) < staleSign
+	case c.Local:
 		return now.Sub(c.ReadAt) < staleReading
 	}
 	return now.Sub(c.ReadAt) < staleRemoteReading
@@ -163,6 +174,8 @@
 		Work:         time.Duration(work),
 		Trip:         u.trip,
 		ReadAt:       u.readAt,
+		IsMum:        u.mum,
+		SeenAt:       u.seenAt,
 		Slowness:     u.slownessAt(now),
 		Load:         u.load(now),
 		Local:        u.distance != otherRegion,
--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -117,12 +117,11 @@
 	}
 }
 
-// Seen records a sign of life that tells no load.
+// Seen records a sign of life that tells no load. Of such an upstream answers
+// alone tell how slow it is, and it is asked for signs of life only.
 func (f *Fleet) Seen(now time.Time, id string) {
 	if u, ok := f.byID[id]; ok {
-		u.readAt = now
-		u.slowness = u.usual
-		u.reached()
+		u.seen(now)
 	}
 }
 
@@ -138,11 +137,12 @@
 	return first
 }
 
-// Stale returns upstreams in the region whose last reading is old.
+// Stale returns upstreams in the region that tell their load and whose last
+// reading is old.
 func (f *Fleet) Stale(now time.Time, service string, most int) []magnolialedge.Registration {
 	var out []magnolialedge.Registration
 	for _, u := range f.byService[service] {
-		if u.distance != otherRegion && u.isUsable(now) && now.Sub(u.readAt) > staleReading {
+		if u.distance != otherRegion && u.isUsable(now) && !u.mum && now.Sub(u.readAt) > staleReading {
 			out = append(out, u.Registration)
 		}
 	}
--- a/core/pick/fleet_test.go
+++ b/core/pick/fleet_test.go
@@ -217,3 +217,40 @@
 	found, _ = f.Candidates(at(60), need(at(60)), 2)
 	require.Equal(t, "silent", found[0].ID)
 }
+
+// TestUpstreamThatTellsNoLoadIsNotAskedBeforeEachRequest: where no load is told a
+// question takes a slot, as a request does.
+func TestUpstreamThatTellsNoLoadIsNotAskedBeforeEachRequest(t *testing.T) {
+	f := newTestFleet()
+	f.Register(at(0), registration("u", "east-a", 4))
+	f.Seen(at(0), "u")
+	found, _ := f.Candidates(at(500), need(at(500)), 1)
+	require.True(t, found[0].IsFresh(at(500)))
+	require.Empty(t, f.Stale(at(500), "reads", 3))
+	found, _ = f.Candidates(at(2500), need(at(2500)), 1)
+	require.False(t, found[0].IsFresh(at(2500)))
+	f.Read(at(2500), "u", magnolialedge.Reading{Slots: 4, Slowness: 1})
+	found, _ = f.Candidates(at(2600), need(at(2600)), 1)
+	require.False(t, found[0].IsFresh(at(2600)))
+}
+
+// TestAnswersTellHowSlowAnUpstreamIsThatTellsNoLoad: upstreams turn several times
+// slower for half a second; what an answer has just shown counts until it is old.
+func TestAnswersTellHowSlowAnUpstreamIsThatTellsNoLoad(t *testing.T) {
+	f := newTestFleet()
+	for _, id := range []string{"slow", "fast"} {
+		f.Register(at(0), registration(id, "east-a", 4))
+		f.Seen(at(0), id)
+	}
+	end := func(ms int, id string, took time.Duration) {
+		f.Begin(id)
+		f.End(at(ms), End{ID: id, Need: need(at(ms)), Took: took, Slowness: 1, Ended: EndedWell})
+	}
+	end(100, "fast", 75*time.Millisecond)
+	end(100, "slow", 450*time.Millisecond)
+	found, _ := f.Candidates(at(110), need(at(110)), 2)
+	require.Equal(t, "fast", found[0].ID)
+	require.Len(t, found, 1, "a request that can make its aim isn't spent on a slow upstream")
+	found, _ = f.Candidates(at(1500), need(at(1500)), 2)
+	require.Len(t, found, 2)
+}
--- a/core/pick/learn.go
+++ b/core/pick/learn.go
@@ -46,7 +46,7 @@
 	case EndedWell:
 		u.result(now, false)
 		u.health.OK()
-		f.learnWork(u, e)
+		f.learnWork(now, u, e)
 	case EndedFailed:
 		u.result(now, true)
 		u.health.Fail(now, f.mayEject(now, u.Service))
@@ -60,13 +60,19 @@
 }
 
 // learnWork learns how long work takes, and how much longer where it took the
-// last slot.
-func (f *Fleet) learnWork(u *upstream, e End) {
+// last slot. Where no load is told it learns how slow the upstream is from the
+// same answer.
+func (f *Fleet) learnWork(now time.Time, u *upstream, e End) {
 	took := float64(e.Took - u.trip)
 	if took <= 0 || e.Slowness <= 0 {
 		return
 	}
 	work := f.Work(e.Need)
+	if u.mum {
+		u.measure(now, took/work)
+		f.work[e.Need.workKey()] = work + workGain*(took-work)
+		return
+	}
 	if e.FilledUp {
 		crowding := f.crowdingOf(e.Need.Service)
 		measured := min(max(1, took/(e.Slowness*work)), mostCrowding)
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -52,6 +52,10 @@
 	slowness float64
 	usual    float64
 	others   float64
+	// mum tells that the upstream answers without telling its load, and seenAt is
+	// when it last answered.
+	mum    bool
+	seenAt time.Time
 
 	health   proc.Health
 	failed   float64
@@ -138,6 +142,7 @@
 
 func (u *upstream) read(now time.Time, r magnolialedge.Reading) {
 	u.readAt = now
+	u.mum = false
 	u.others = max(0, float64(r.Running+r.Waiting-u.inFlight))
 	if r.Slots > 0 {
 		u.Slots = r.Slots
@@ -149,6 +154,29 @@
 	u.reached()
 }
 
+const (
+	// fastest and slowest bound one slowness that is measured by an answer.
+	fastest = 0.3
+	slowest = 10
+)
+
+// seen takes a sign of life that tells no load.
+func (u *upstream) seen(now time.Time) {
+	u.mum = true
+	u.seenAt = now
+	u.reached()
+}
+
+// measure takes the slowness that an answer showed, for an upstream that tells
+// none.
+func (u *upstream) measure(now time.Time, slowness float64) {
+	u.seenAt = now
+	u.readAt = now
+	u.others = 0
+	u.slowness = min(max(slowness, fastest), slowest)
+	u.usual += usualGain * (u.slowness - u.usual)
+}
+
 func (u *upstream) reached() {
 	u.askedAt = time.Time{}
 	u.dark = 0
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -211,7 +211,7 @@
 
 // connected gives a placement a connection, or ends it if none is to be had.
 func (x *exchange) connected(ctx context.Context, p *placement) *placement {
-	c, err := x.f.connect(ctx, p.Registration, p.Trip, !x.need.Repeatable, x.match.Service.HealthPath)
+	c, err := x.f.connect(ctx, p.Candidate, !x.need.Repeatable, x.match.Service.HealthPath)
 	if err != nil {
 		x.story = append(x.story, x.tell(p, "unreached", 0))
 		x.f.end(p, x.need, 0, pick.EndedUnreached)
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -18,6 +18,9 @@
 	// readingTimeout is how long an upstream may take to answer with its load
 	// before it counts as unreachable, beyond the trip.
 	readingTimeout = 250 * time.Millisecond
+	// mumTimeout is readingTimeout for an upstream that tells no load: there the
+	// question may wait for a slot, and a new connection is had sooner.
+	mumTimeout = 15 * time.Millisecond
 	// provenLife is how long a connection counts as alive after a sign of life
 	// for requests that may be sent again, and provenOnceLife for others.
 	provenLife     = time.Second
@@ -139,27 +142,44 @@
 
 // connect returns a connection that is good for a request: one that was asked
 // just now, one that was proven of late, or a new one.
-func (f *Forwarder) connect(ctx context.Context, r magnolialedge.Registration, trip time.Duration, once bool, health string) (*link.Conn, error) {
+func (f *Forwarder) connect(ctx context.Context, to pick.Candidate, once bool, health string) (*link.Conn, error) {
+	if c, ok := f.cfg.Pool.Take(to.ID); ok {
+		if f.prove(ctx, c, to, once, health) {
+			return c, nil
+		}
+	}
+	short, cancel := context.WithTimeout(ctx, openTimeout+openTrips*to.Trip)
+	defer cancel()
+	return f.open(short, to.Registration)
+}
+
+// prove reports whether an unused connection is good for a request. One that
+// isn't goes back or is closed.
+func (f *Forwarder) prove(ctx context.Context, c *link.Conn, to pick.Candidate, once bool, health string) bool {
 	life := provenLife
 	if once {
 		life = provenOnceLife
 	}
-	if c, ok := f.cfg.Pool.Take(r.ID); ok {
-		if time.Since(c.ProvenAt()) < life {
-			return c, nil
-		}
-		short, cancel := context.WithTimeout(ctx, readingTimeout)
-		err := f.reading(short, c, health)
-		cancel()
-		if err == nil {
-			return c, nil
+	if time.Since(c.ProvenAt()) < life {
+		return true
+	}
+	limit := readingTimeout
+	if to.IsMum {
+		if !once {
+			return true
 		}
-		c.Close()
-		f.cfg.Pool.Drop(r.ID)
+		limit = mumTimeout + to.Trip
 	}
-	short, cancel := context.WithTimeout(ctx, openTimeout+openTrips*trip)
+	short, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return f.open(short, r)
+	if f.reading(short, c, health) == nil {
+		return true
+	}
+	c.Close()
+	if !to.IsMum {
+		f.cfg.Pool.Drop(to.ID)
+	}
+	return false
 }
 
 const (
