Leave the listing of a large store to the region's sources

Each entry listed the store at its start, and again whenever its source ended; each told each other one of its start, with 300 entries 90,000 messages; each wrote a line for each of 3,000 upstreams. Change: a new entry whose first page of several names sources leaves the rest to them. A reader whose source ends goes on with the other one, and only lists the store when none serves within a time drawn so that all who wait take at most 0.3 of the store's reading calls; a source that knows less than its reader isn't followed. A new entry tells the others itself only if the store hasn't listed it within 0.5 s. More than 100 changes at once get one line.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -51,6 +51,11 @@
 	return m.revision
 }
 
+// Size returns the number of items that are taken as present.
+func (m *Mirror) Size() int {
+	return len(m.items)
+}
+
 // Items returns the items that are taken as present.
 func (m *Mirror) Items() []magnolialedge.Item {
 	out := make([]magnolialedge.Item, 0, len(m.items))
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -26,6 +26,7 @@
 	PeerUnreachable     = Event{2012, "peerUnreachable", Info, "A message to another entry was not taken."}
 	MemberHeard         = Event{2013, "memberHeard", Info, "Another entry said that it has started or leaves."}
 	MemberGone          = Event{2014, "memberGone", Info, "Another entry was found to have ended without leaving."}
+	ManyChanges         = Event{2015, "manyChanges", Info, "Many changes came together, as at a start; those of upstreams have no lines of their own."}
 	UpstreamLost        = Event{3001, "upstreamLost", Warning, "A connection broke after a request was written to an upstream."}
 	UpstreamDraining    = Event{3002, "upstreamDraining", Info, "An upstream said that it drains."}
 	ConnectionStalled   = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
@@ -53,7 +54,7 @@
 		StopForced, SettingsReloaded, SettingsRejected, AnnounceFailed,
 		LinesDropped, AcceptFailed, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
-		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone,
+		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone, ManyChanges,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt, KeyTableFull, HandedOver,
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -42,7 +42,14 @@
 	// Others returns further peer addresses, which may know more than this entry
 	// when it has lost the store; it may be nil.
 	Others func() []string
-	Peers  PeerDialer
+	// OnPart is told the first items of a store with more of them, so that Sources
+	// may know some; it may be nil.
+	OnPart func([]magnolialedge.Item)
+	// Patience returns for how long an entry that no source serves goes on asking
+	// them before it lists the store itself, so that the entries of a large fleet
+	// don't all list it at the same time; nil stands for none.
+	Patience func() time.Duration
+	Peers    PeerDialer
 	// Seeds are peer addresses known from the start, from which a new entry
 	// learns what they know while the store gives no answer.
 	Seeds []string
@@ -60,9 +67,11 @@
 type Follower struct {
 	cfg Config
 
-	mu      sync.Mutex
-	mirror  *mirror.Mirror
-	listed  bool
+	mu     sync.Mutex
+	mirror *mirror.Mirror
+	listed bool
+	// known tells that the store was listed or a source has told of it.
+	known   bool
 	reached time.Time
 	lost    bool
 	subs    map[chan message]struct{}
@@ -79,22 +88,81 @@
 	go f.tick(ctx)
 	go f.seed(ctx)
 	for ctx.Err() == nil {
-		sources := f.cfg.Sources()
-		if len(sources) == 0 || !f.hasListed() {
-			f.watch(ctx)
+		if len(f.cfg.Sources()) == 0 {
+			f.watch(ctx, f.mayDefer())
 			f.followOthers(ctx)
 			continue
 		}
+		if !f.followSources(ctx) {
+			f.watchFor(ctx, fallbackTime)
+		}
+	}
+}
+
+const (
+	// sourceGap is the time between two rounds of asking sources of which none
+	// serves.
+	sourceGap = 100 * time.Millisecond
+	// startPatience is how long a new entry that has left the listing to its
+	// sources waits for them, beyond its patience, before it lists the store.
+	startPatience = 150 * time.Millisecond
+)
+
+// followSources takes changes from the sources. False means that none has served
+// within the entry's patience.
+func (f *Follower) followSources(ctx context.Context) bool {
+	until := time.Now().Add(f.patience())
+	for ctx.Err() == nil {
+		sources := f.cfg.Sources()
+		if len(sources) == 0 {
+			return true
+		}
 		served := f.followAny(ctx, sources)
 		// A peer may have held back removals that came before the revision that
 		// it told, so the store's changes after it aren't enough.
 		f.setListed(false)
-		if !served {
-			f.watchFor(ctx, fallbackTime)
+		if served {
+			return true
+		}
+		if !time.Now().Before(until) {
+			return false
+		}
+		pause.Sleep(ctx, sourceGap)
+	}
+	return true
+}
+
+func (f *Follower) patience() time.Duration {
+	if f.cfg.Patience == nil {
+		return 0
+	}
+	return f.cfg.Patience()
+}
+
+// ensureStart lists the store if the sources that it was left to don't serve a
+// new entry soon, as when they are down or out of reach.
+func (f *Follower) ensureStart(ctx context.Context) {
+	pause.Sleep(ctx, startPatience+f.patience())
+	for ctx.Err() == nil && !f.isKnown() {
+		if err := f.list(ctx, false); err != nil {
+			f.failed(err)
+			pause.Sleep(ctx, retryGap+rand.N(retryJitter))
 		}
 	}
 }
 
+// mayDefer reports whether the listing of a store with many items may be left to
+// the sources.
+func (f *Follower) mayDefer() bool {
+	return f.cfg.OnPart != nil && !f.isKnown()
+}
+
+func (f *Follower) isKnown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
 // followOthers takes changes from any other entry for a while if this one has
 // lost the store, which may turn away some entries and serve others.
 func (f *Follower) followOthers(ctx context.Context) {
@@ -137,23 +205,32 @@
 	return f.mirror.Revision()
 }
 
+// Size returns the number of items that are known.
+func (f *Follower) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.Size()
+}
+
 func (f *Follower) watchFor(ctx context.Context, length time.Duration) {
 	until := time.Now().Add(length)
 	for ctx.Err() == nil && time.Now().Before(until) {
-		f.watch(ctx)
+		f.watch(ctx, false)
 	}
 }
 
 // watch lists or watches once, and leaves the time between calls.
-func (f *Follower) watch(ctx context.Context) {
+func (f *Follower) watch(ctx context.Context, mayDefer bool) {
 	begun := time.Now()
 	var err error
 	if !f.hasListed() {
-		err = f.list(ctx)
+		err = f.list(ctx, mayDefer)
 	} else {
 		err = f.changes(ctx)
 	}
 	switch {
+	case errors.Is(err, errDeferred):
+		go f.ensureStart(ctx)
 	case err == nil:
 		pause.Sleep(ctx, watchGap-time.Since(begun))
 	case errors.Is(err, magnolialedge.ErrHistoryLost):
@@ -171,9 +248,13 @@
 	f.listed = listed
 }
 
+// errDeferred tells that the rest of a listing is left to the sources.
+var errDeferred = errors.New("the sources are asked for what the store holds")
+
 // list reads all items. The revision of the first page is the one from which
-// changes are asked for, since pages aren't a snapshot.
-func (f *Follower) list(ctx context.Context) error {
+// changes are asked for, since pages aren't a snapshot. If mayDefer is set it
+// ends behind the first of several pages when that names sources to ask.
+func (f *Follower) list(ctx context.Context, mayDefer bool) error {
 	var items []magnolialedge.Item
 	revision, after := int64(-1), ""
 	for {
@@ -189,9 +270,19 @@
 			break
 		}
 		after = page.Items[len(page.Items)-1].Key
+		if mayDefer {
+			mayDefer = false
+			f.cfg.OnPart(items)
+			if len(f.cfg.Sources()) > 0 {
+				return errDeferred
+			}
+		}
 	}
 	f.take(mirror.FromStore, message{Snapshot: true, Items: items, Revision: revision}, time.Now())
-	f.setListed(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = true
+	f.known = true
 	return nil
 }
 
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -36,7 +36,10 @@
 	readerParam = "reader"
 )
 
-var errStale = errors.New("the source has not reached the store of late")
+var (
+	errStale  = errors.New("the source has not reached the store of late")
+	errBehind = errors.New("the source knows less than this entry")
+)
 
 // message is one line of a stream.
 type message struct {
@@ -79,12 +82,12 @@
 	seedGap   = 300 * time.Millisecond
 )
 
-// seed takes changes from a seed until the store has been listed. What seeds
-// know may be old; it is all that there is.
+// seed takes changes from a seed until the store has been listed or a source
+// serves. What seeds know may be old; it is all that there is.
 func (f *Follower) seed(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go f.awaitListed(ctx, cancel)
+	go f.awaitKnown(ctx, cancel)
 	pause.Sleep(ctx, seedAfter)
 	for ctx.Err() == nil {
 		for _, address := range f.cfg.Seeds {
@@ -97,9 +100,15 @@
 	}
 }
 
-// awaitListed calls done once the store has been listed.
-func (f *Follower) awaitListed(ctx context.Context, done func()) {
-	for ctx.Err() == nil && !f.hasListed() {
+func (f *Follower) setKnown() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = true
+}
+
+// awaitKnown calls done once the store is known.
+func (f *Follower) awaitKnown(ctx context.Context, done func()) {
+	for ctx.Err() == nil && !f.isKnown() {
 		pause.Sleep(ctx, tickEvery/4)
 	}
 	done()
@@ -131,10 +140,16 @@
 		if mostAge != anyAge && age > mostAge {
 			return errStale
 		}
+		if mostAge != anyAge && m.Snapshot && m.Revision < f.Revision() {
+			return errBehind
+		}
 		if err := m.unpack(); err != nil {
 			return err
 		}
 		f.take(mirror.FromPeer, m, time.Now().Add(-age))
+		if mostAge != anyAge {
+			f.setKnown()
+		}
 	}
 	return errors.Wrap(lines.Err(), "stream ended")
 }
--- a/io/node/announce.go
+++ b/io/node/announce.go
@@ -54,6 +54,7 @@
 			continue
 		}
 		written, toldLeaving = true, leaving
+		n.listed.Store(true)
 	}
 	n.endListing(lease)
 }
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -32,6 +32,8 @@
 	self magnolialedge.Instance
 	mu   sync.Mutex
 	byID map[string]magnolialedge.Instance
+	// hints stands for byID until the store is known.
+	hints map[string]magnolialedge.Instance
 	// told is what entries said of themselves directly, which is later than the
 	// store's list while the store can't be written.
 	told map[string]magnolialedge.Instance
@@ -54,6 +56,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.hints = nil
 	var in magnolialedge.Instance
 	if c.Deleted || json.Unmarshal(c.Value, &in) != nil {
 		delete(m.byID, name)
@@ -67,6 +70,25 @@
 	return true
 }
 
+// hint takes the first items of the store, which may not hold all entries.
+func (m *members) hint(items []magnolialedge.Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.byID) > 0 {
+		return
+	}
+	m.hints = map[string]magnolialedge.Instance{}
+	for _, it := range items {
+		var in magnolialedge.Instance
+		if !strings.HasPrefix(it.Key, membersPrefix) {
+			continue
+		}
+		if json.Unmarshal(it.Value, &in) == nil && in.Name != m.self.Name {
+			m.hints[in.Name] = in
+		}
+	}
+}
+
 // takeDropped reports whether the store has ceased to list this entry since the
 // last time.
 func (m *members) takeDropped() bool {
@@ -200,11 +222,22 @@
 	return out
 }
 
+// known returns all entries, from hints while there is nothing better.
+func (m *members) known() []magnolialedge.Instance {
+	out := m.list()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, in := range m.hints {
+		out = append(out, in)
+	}
+	return out
+}
+
 // ranked returns the live entries of this region in an order that all agree on,
 // those with the widest links first.
 func (m *members) ranked() []magnolialedge.Instance {
 	var live []magnolialedge.Instance
-	for _, in := range m.list() {
+	for _, in := range m.known() {
 		if in.Region == m.self.Region && !in.Leaving {
 			live = append(live, in)
 		}
--- /dev/null
+++ b/io/node/news.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"magnolialedge"
+	"magnolialedge/io/event"
+)
+
+// mostToldChanges is the number of changes that come together up to which those
+// of upstreams are logged one by one.
+const mostToldChanges = 100
+
+// news is a change of the store and what it means.
+type news struct {
+	magnolialedge.Fact
+	revision int64
+}
+
+// take brings changes of the store to those whom they concern.
+func (n *Node) take(changes []magnolialedge.Item) {
+	known := n.members.size()
+	tell := len(changes) <= mostToldChanges
+	if !tell {
+		n.log.Log(event.ManyChanges, "items", len(changes))
+	}
+	for _, x := range n.decode(changes) {
+		n.apply(x, tell)
+	}
+	if now := n.members.size(); now != known {
+		n.forwarder.SetEntries(now)
+	}
+}
+
+// decode returns what the changes mean that don't concern entries.
+func (n *Node) decode(changes []magnolialedge.Item) []news {
+	var out []news
+	for _, c := range changes {
+		if n.members.take(c) {
+			continue
+		}
+		fact, err := n.cfg.Decoder.Decode(c)
+		if err != nil {
+			n.log.Log(event.ItemUnusable, "key", c.Key, "revision", c.Revision, "err", err)
+		}
+		out = append(out, news{Fact: fact, revision: c.Revision})
+	}
+	return out
+}
+
+func (n *Node) apply(x news, tell bool) {
+	if x.Routing != nil && n.forwarder.SetRouting(*x.Routing) {
+		n.log.Log(event.RoutingInForce, "version", x.Routing.Version, "revision", x.revision, "routes", len(x.Routing.Routes))
+	}
+	if u := x.Upstream; u != nil {
+		n.forwarder.Register(*u)
+		if tell {
+			n.log.Log(event.UpstreamRegistered, "upstream", u.ID, "service", u.Service, "address", u.Address, "draining", u.Draining, "revision", x.revision)
+		}
+	}
+	if x.Removed != "" {
+		n.forwarder.Remove(x.Removed)
+		if tell {
+			n.log.Log(event.UpstreamRemoved, "upstream", x.Removed, "revision", x.revision)
+		}
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -56,6 +56,8 @@
 	store     magnolialedge.Keyspace
 	peers     *http.Client
 	leaving   atomic.Bool
+	// listed tells that the store has taken this entry's listing.
+	listed atomic.Bool
 
 	listeners []net.Listener
 }
@@ -120,6 +122,8 @@
 		Sources:      n.members.sources,
 		Others:       n.members.others,
 		Peers:        peerStreams{client: n.peers},
+		OnPart:       n.members.hint,
+		Patience:     n.patience,
 		Seeds:        n.seeds(),
 		Name:         s.Name,
 		OnReaderLost: n.readerLost,
@@ -147,38 +151,6 @@
 	}
 }
 
-// take brings changes of the store to those whom they concern.
-func (n *Node) take(changes []magnolialedge.Item) {
-	known := n.members.size()
-	for _, c := range changes {
-		if n.members.take(c) {
-			continue
-		}
-		fact, err := n.cfg.Decoder.Decode(c)
-		if err != nil {
-			n.log.Log(event.ItemUnusable, "key", c.Key, "revision", c.Revision, "err", err)
-		}
-		n.apply(fact, c)
-	}
-	if now := n.members.size(); now != known {
-		n.forwarder.SetEntries(now)
-	}
-}
-
-func (n *Node) apply(fact magnolialedge.Fact, c magnolialedge.Item) {
-	if fact.Routing != nil && n.forwarder.SetRouting(*fact.Routing) {
-		n.log.Log(event.RoutingInForce, "version", fact.Routing.Version, "revision", c.Revision, "routes", len(fact.Routing.Routes))
-	}
-	if fact.Upstream != nil {
-		n.forwarder.Register(*fact.Upstream)
-		n.log.Log(event.UpstreamRegistered, "upstream", fact.Upstream.ID, "service", fact.Upstream.Service, "address", fact.Upstream.Address, "draining", fact.Upstream.Draining, "revision", c.Revision)
-	}
-	if fact.Removed != "" {
-		n.forwarder.Remove(fact.Removed)
-		n.log.Log(event.UpstreamRemoved, "upstream", fact.Removed, "revision", c.Revision)
-	}
-}
-
 // Run serves until ctx is done, and then stops without cutting a request.
 // Settings that come in reload replace those in force.
 func (n *Node) Run(ctx context.Context, reload <-chan Reload) error {
@@ -279,10 +251,17 @@
 	for ctx.Err() == nil && !n.isReady() {
 		pause.Sleep(ctx, readyPoll)
 	}
-	n.tellMember()
 	n.log.Log(event.Ready, "version", n.forwarder.Version(), "afterMs", time.Since(n.start).Milliseconds())
+	pause.Sleep(ctx, listingTime)
+	if !n.listed.Load() {
+		n.tellMember()
+	}
 }
 
+// listingTime is how long a new entry waits to be listed in the store, which
+// tells all others, before it tells them itself.
+const listingTime = 500 * time.Millisecond
+
 // droppedEvery is the time between two lines that tell how many were left out.
 const droppedEvery = time.Second
 
