Take routes behind the upstreams that came with them

Cause: TestSafeRequestIsSentAgainAfterALostAnswer failed once with 503 instead of 200. Its log: the request came between "routingInForce" and the first "upstreamRegistered" of the same list, and was refused as noUpstream though two upstreams were listed. An entry counts as ready once it has routes. Change: of changes that come together, routes are taken last.

--- a/io/node/news.go
+++ b/io/node/news.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"magnolialedge"
 	"magnolialedge/io/event"
 )
@@ -22,7 +24,7 @@
 	if !tell {
 		n.log.Log(event.ManyChanges, "items", len(changes))
 	}
-	for _, x := range n.decode(changes) {
+	for _, x := range routingLast(n.decode(changes)) {
 		n.apply(x, tell)
 	}
 	if now := n.members.size(); now != known {
@@ -46,6 +48,22 @@
 	return out
 }
 
+// routingLast puts routes behind upstreams, since an entry that has routes is
+// ready and refuses what it knows no upstream for.
+func routingLast(all []news) []news {
+	out := slices.Clone(all)
+	slices.SortStableFunc(out, func(a, b news) int {
+		switch {
+		case a.Routing == nil && b.Routing != nil:
+			return -1
+		case a.Routing != nil && b.Routing == nil:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
 func (n *Node) apply(x news, tell bool) {
 	if x.Routing != nil && n.forwarder.SetRouting(*x.Routing) {
 		n.log.Log(event.RoutingInForce, "version", x.Routing.Version, "revision", x.revision, "routes", len(x.Routing.Routes))
