--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -30,26 +30,22 @@
 	FirstPort, LastPort int
 	// StopLimit is the time from the signal to stop to the end by force.
 	StopLimit time.Duration
-	// DrainLimit and ConfigLimit are the times within which a draining upstream
-	// and a version of the configuration are heeded.
-	DrainLimit  time.Duration
-	ConfigLimit time.Duration
-	// RetryShare and RetryExtra bound the retries of all entries in a window of
-	// RetryWindow: a share of the requests and a number.
-	RetryShare  float64
-	RetryExtra  float64
-	RetryWindow time.Duration
+	// RetryShare and RetryExtra bound the retries of all entries in each period of
+	// the platform: a share of the requests and a number.
+	RetryShare float64
+	RetryExtra float64
 	// ResolveLimit bounds how long a resolve answer counts.
 	ResolveLimit time.Duration
 	// ReadingsPerSec bounds the readings of one upstream by all entries.
 	ReadingsPerSec float64
-	// StoreReads and StoreWrites bound the calls of all entries a second.
-	StoreReads  float64
-	StoreWrites float64
+	// StoreReads bounds the reading calls of all entries a second.
+	StoreReads float64
 	// LeastLease is the shortest lease that the store grants.
 	LeastLease time.Duration
-	MemoryMB   int
-	Files      int
+	// MemoryMB and Files are the memory and the descriptors that the process may
+	// use.
+	MemoryMB int
+	Files    int
 	// LinkMbps is the bandwidth of the instance's link.
 	LinkMbps float64
 }
--- a/io/soak/entry.go
+++ b/io/soak/entry.go
@@ -68,7 +68,7 @@
 		Name: name, Zone: zone, Region: regions[zone], Regions: regions, IP: ip,
 		Callers: at(0), Ready: at(1), Directory: at(2), Peers: at(3),
 		FirstPort: firstPort + 3, LastPort: firstPort + 3, Store: near.Addr().String(),
-		StopLimit: stopLimit, RetryShare: retryShare, RetryExtra: retryExtra, RetryWindow: retryWindow,
+		StopLimit: stopLimit, RetryShare: retryShare, RetryExtra: retryExtra,
 		ResolveLimit: 5 * time.Second,
 	}
 	return e, nil
