--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -68,12 +68,12 @@
 	Trip time.Duration
 	// ReadAt is when the last reading was taken; zero for none.
 	ReadAt time.Time
-	// IsMum tells that the upstream doesn't tell its load, and SeenAt is when
+	// TellsNoLoad tells that the upstream doesn't tell its load, and SeenAt is when
 	// such a one last gave a sign of life.
-	IsMum    bool
-	SeenAt   time.Time
-	Slowness float64
-	Load     float64
+	TellsNoLoad bool
+	SeenAt      time.Time
+	Slowness    float64
+	Load        float64
 	// FillsUp tells that the request takes the last slot.
 	FillsUp bool
 	// Local tells that the upstream is in the entry's region.
@@ -95,7 +95,7 @@
 // a request by.
 func (c Candidate) IsFresh(now time.Time) bool {
 	switch {
-	case c.IsMum:
+	case c.TellsNoLoad:
 		return now.Sub(c.SeenAt) < staleSign
 	case c.Local:
 		return now.Sub(c.ReadAt) < staleReading
@@ -250,7 +250,7 @@
 		Work:         time.Duration(e.work),
 		Trip:         e.u.trip,
 		ReadAt:       e.u.readAt,
-		IsMum:        e.u.mum,
+		TellsNoLoad:  e.u.loadUntold,
 		SeenAt:       e.u.seenAt,
 		Slowness:     e.slowness,
 		Load:         e.load,
--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -147,7 +147,7 @@
 func (f *Fleet) Stale(now time.Time, service string, most int) []magnolialedge.Registration {
 	var out []magnolialedge.Registration
 	for _, u := range f.byService[service] {
-		if u.distance != otherRegion && u.isUsable(now) && !u.mum && now.Sub(u.readAt) > staleReading {
+		if u.distance != otherRegion && u.isUsable(now) && !u.loadUntold && now.Sub(u.readAt) > staleReading {
 			out = append(out, u.Registration)
 		}
 	}
--- a/core/pick/learn.go
+++ b/core/pick/learn.go
@@ -68,7 +68,7 @@
 		return
 	}
 	work := f.Work(e.Need)
-	if u.mum {
+	if u.loadUntold {
 		u.measure(now, took/work)
 		f.work[e.Need.workKey()] = work + workGain*(took-work)
 		return
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -52,10 +52,10 @@
 	slowness float64
 	usual    float64
 	others   float64
-	// mum tells that the upstream answers without telling its load, and seenAt is
+	// loadUntold tells that the upstream answers without telling its load, and seenAt is
 	// when it last answered.
-	mum    bool
-	seenAt time.Time
+	loadUntold bool
+	seenAt     time.Time
 
 	health   proc.Health
 	failed   float64
@@ -143,7 +143,7 @@
 
 func (u *upstream) read(now time.Time, r magnolialedge.Reading) {
 	u.readAt = now
-	u.mum = false
+	u.loadUntold = false
 	u.others = max(0, float64(r.Running+r.Waiting-u.inFlight))
 	if r.Slots > 0 {
 		u.Slots = r.Slots
@@ -163,7 +163,7 @@
 
 // seen takes a sign of life that tells no load.
 func (u *upstream) seen(now time.Time) {
-	u.mum = true
+	u.loadUntold = true
 	u.seenAt = now
 	u.reached()
 }
--- a/io/node/loss.go
+++ b/io/node/loss.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// lookTimeout bounds the look whether an entry has ended.
-	lookTimeout = 300 * time.Millisecond
-	// lookDelay leaves an ending process the time to close its listeners.
-	lookDelay = 20 * time.Millisecond
+	// checkTimeout bounds the check whether an entry has ended.
+	checkTimeout = 300 * time.Millisecond
+	// checkDelay leaves an ending process the time to close its listeners.
+	checkDelay = 20 * time.Millisecond
 	// gonePath is where entries tell each other of ended ones.
 	gonePath = "/v1/gone"
 )
@@ -33,24 +33,24 @@
 
 // readerLost looks after an entry whose stream from here has ended.
 func (n *Node) readerLost(name string) {
-	n.look(func(in magnolialedge.Instance) bool { return in.Name == name })
+	n.checkEnded(func(in magnolialedge.Instance) bool { return in.Name == name })
 }
 
 // sourceLost looks after an entry whose stream to here has ended.
 func (n *Node) sourceLost(address string) {
-	go n.look(func(in magnolialedge.Instance) bool { return in.Peers == address })
+	go n.checkEnded(func(in magnolialedge.Instance) bool { return in.Peers == address })
 }
 
-// look finds out whether an entry has ended. Only a machine that refuses the
+// checkEnded finds out whether an entry has ended. Only a machine that refuses the
 // connection counts: one that is silent may be paused or cut off, and is left to
 // its lease.
-func (n *Node) look(match func(magnolialedge.Instance) bool) {
+func (n *Node) checkEnded(match func(magnolialedge.Instance) bool) {
 	in, ok := n.members.find(match)
 	if !ok || n.leaving.Load() {
 		return
 	}
-	time.Sleep(lookDelay)
-	c, err := net.DialTimeout("tcp", in.Peers, lookTimeout)
+	time.Sleep(checkDelay)
+	c, err := net.DialTimeout("tcp", in.Peers, checkTimeout)
 	if err == nil {
 		_ = c.Close()
 		return
@@ -59,7 +59,7 @@
 		return
 	}
 	l := loss{Name: in.Name, StartedAt: in.StartedAt}
-	if n.takeLoss(l, "own look") && n.tells(in) {
+	if n.takeLoss(l, "own check") && n.tells(in) {
 		n.tellPeers(gonePath, l)
 	}
 }
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -18,9 +18,9 @@
 	// readingTimeout is how long an upstream may take to answer with its load
 	// before it counts as unreachable, beyond the trip.
 	readingTimeout = 250 * time.Millisecond
-	// mumTimeout is readingTimeout for an upstream that tells no load: there the
+	// untoldTimeout is readingTimeout for an upstream that tells no load: there the
 	// question may wait for a slot, and a new connection is had sooner.
-	mumTimeout = 15 * time.Millisecond
+	untoldTimeout = 15 * time.Millisecond
 	// provenLife is how long a connection counts as alive after a sign of life
 	// for requests that may be sent again, and provenOnceLife for others.
 	provenLife     = time.Second
@@ -176,11 +176,11 @@
 		return true
 	}
 	limit := readingTimeout
-	if to.IsMum {
+	if to.TellsNoLoad {
 		if !once {
 			return true
 		}
-		limit = mumTimeout + to.Trip
+		limit = untoldTimeout + to.Trip
 	}
 	short, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -188,7 +188,7 @@
 		return true
 	}
 	c.Close()
-	if !to.IsMum {
+	if !to.TellsNoLoad {
 		f.cfg.Pool.Drop(to.ID)
 	}
 	return false
--- a/io/serve/rescue.go
+++ b/io/serve/rescue.go
@@ -99,7 +99,7 @@
 	switch {
 	case !listed || short:
 		return nil
-	case !slowing && (!p.At.Local || p.At.IsMum):
+	case !slowing && (!p.At.Local || p.At.TellsNoLoad):
 		return nil
 	case !slowing:
 		f.ask(at, p.At.Trip, x.match.Service.HealthPath)
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -49,31 +49,31 @@
 }
 
 func killEntry(ctx context.Context, w *world, r *rand.Rand) error {
-	e := w.take(r)
-	if e == nil {
+	e, letGo, ok := hold(w, r, w.entries)
+	if !ok {
 		return nil
 	}
-	defer w.give(e)
+	defer letGo()
 	defer w.calm.disturb(e.settings.Name)()
 	e.finish(syscall.SIGKILL)
 	pause.Sleep(ctx, length(r))
-	return w.restart(e)
+	return e.start()
 }
 
 // stopEntry stops an entry as planned and starts it again. Only the time between
 // its end and its start disturbs it.
 func stopEntry(_ context.Context, w *world, r *rand.Rand) error {
-	e := w.take(r)
-	if e == nil {
+	e, letGo, ok := hold(w, r, w.entries)
+	if !ok {
 		return nil
 	}
-	defer w.give(e)
+	defer letGo()
 	begun := time.Now()
 	if e.finish(syscall.SIGTERM) {
 		w.breach("%s did not stop within %s of its signal at %s", e.settings.Name, stopLimit, begun.Format(time.StampMilli))
 	}
 	defer w.calm.disturb(e.settings.Name)()
-	return w.restart(e)
+	return e.start()
 }
 
 func hangUp(_ context.Context, w *world, r *rand.Rand) error {
@@ -132,11 +132,11 @@
 }
 
 func rebirth(ctx context.Context, w *world, r *rand.Rand) error {
-	u := w.takeUpstream(r)
-	if u == nil {
+	u, letGo, ok := hold(w, r, w.ups)
+	if !ok {
 		return nil
 	}
-	defer w.giveUpstream(u)
+	defer letGo()
 	u.current().Close()
 	if r.IntN(2) == 0 {
 		u.current().Deregister(w.store)
@@ -147,11 +147,11 @@
 }
 
 func drain(ctx context.Context, w *world, r *rand.Rand) error {
-	u := w.takeUpstream(r)
-	if u == nil {
+	u, letGo, ok := hold(w, r, w.ups)
+	if !ok {
 		return nil
 	}
-	defer w.giveUpstream(u)
+	defer letGo()
 	end := u.drain()
 	pause.Sleep(ctx, 2*drainLimit)
 	end()
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -57,7 +57,7 @@
 			}
 			return true
 		}, time.Second, 10*time.Millisecond)
-		require.NoError(t, w.restart(killed))
+		require.NoError(t, killed.start())
 		require.NoError(t, w.awaitReady(context.Background()))
 		time.Sleep(settled)
 	}
--- a/io/soak/world.go
+++ b/io/soak/world.go
@@ -101,45 +101,21 @@
 	return address
 }
 
-// take draws an entry whose process may be ended and keeps others from it. It
-// returns nil if another fault holds it.
-func (w *world) take(r *rand.Rand) *entry {
+// hold draws one of all for a fault of its whole life and keeps others from it
+// until it is let go. False means that another fault holds the one drawn.
+func hold[T comparable](w *world, r *rand.Rand, all []T) (held T, letGo func(), ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	e := w.entries[r.IntN(len(w.entries))]
-	if w.busy[e] {
-		return nil
+	held = all[r.IntN(len(all))]
+	if w.busy[held] {
+		return held, nil, false
 	}
-	w.busy[e] = true
-	return e
-}
-
-func (w *world) give(e *entry) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.busy, e)
-}
-
-func (w *world) takeUpstream(r *rand.Rand) *upstream {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	u := w.ups[r.IntN(len(w.ups))]
-	if w.busy[u] {
-		return nil
-	}
-	w.busy[u] = true
-	return u
-}
-
-func (w *world) giveUpstream(u *upstream) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.busy, u)
-}
-
-// restart runs an entry's program again.
-func (w *world) restart(e *entry) error {
-	return e.start()
+	w.busy[held] = true
+	return held, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.busy, held)
+	}, true
 }
 
 func (w *world) close() {
