Log the era of the store and lists that are ignored as old

Change: pages of the store carry their era; storeRestored and olderListIgnored; gauges for the version, revision, era and age that an entry has. No decision is changed. Measured: tests of io/mirror, core/mirror, platform and io/event pass.

--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -98,6 +98,8 @@
 	// hops is the number of entries between this one and the store as of
 	// reachedAt; 0 means that this entry reached the store itself.
 	hops int
+	// era is the latest era of the store that its replies have named.
+	era int64
 	// unreachable is set from a failed call until the store is reached again.
 	unreachable bool
 	subscribers map[chan message]struct{}
@@ -253,6 +255,7 @@
 		if err != nil {
 			return err
 		}
+		f.recordEra(page.Position)
 		if revision < 0 {
 			revision = page.Revision
 		}
@@ -284,6 +287,7 @@
 	if err != nil {
 		return err
 	}
+	f.recordEra(page.Position)
 	f.apply(mirror.FromStore, message{Items: page.Items, Revision: page.Revision}, time.Now())
 	f.setHops(0)
 	return nil
@@ -316,6 +320,9 @@
 	}
 	var effective []magnolialedge.Item
 	if m.Snapshot {
+		if own := f.mirror.Revision(); m.Revision < own {
+			f.cfg.Log.Log(event.OlderListIgnored, "revision", m.Revision, "ownRevision", own, "era", f.era, "items", len(m.Items))
+		}
 		effective = f.mirror.ApplySnapshot(now, from, m.Items, m.Revision)
 	} else {
 		effective = f.mirror.ApplyChanges(now, m.Items, m.Revision)
@@ -323,6 +330,23 @@
 	f.notify(effective)
 }
 
+// recordEra logs a reply of the store that names another era than the replies before.
+func (f *Follower) recordEra(p magnolialedge.Position) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.Era != f.era {
+		f.cfg.Log.Log(event.StoreRestored, "era", p.Era, "previousEra", f.era, "revision", p.Revision, "ownRevision", f.mirror.Revision())
+		f.era = p.Era
+	}
+}
+
+// Era returns the latest era of the store that its replies have named.
+func (f *Follower) Era() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // notify passes effective changes to OnChange and to the subscribers. f.mu must be
 // held, so that the changes stay in order.
 func (f *Follower) notify(changes []magnolialedge.Item) {
--- a/io/mirror/follower_test.go
+++ b/io/mirror/follower_test.go
@@ -74,7 +74,7 @@
 	if s.down {
 		return magnolialedge.Page{}, errDown
 	}
-	page := magnolialedge.Page{Revision: s.revision}
+	page := magnolialedge.Page{Position: magnolialedge.Position{Revision: s.revision}}
 	for _, it := range s.items {
 		page.Items = append(page.Items, it)
 	}
@@ -101,7 +101,7 @@
 	if after < s.compactedRevision {
 		return magnolialedge.Page{}, magnolialedge.ErrHistoryLost
 	}
-	page := magnolialedge.Page{Revision: s.revision}
+	page := magnolialedge.Page{Position: magnolialedge.Position{Revision: s.revision}}
 	for _, it := range s.history {
 		if it.Revision > after {
 			page.Items = append(page.Items, it)
--- a/io/mirror/listing_test.go
+++ b/io/mirror/listing_test.go
@@ -31,7 +31,7 @@
 		}
 	}
 	slices.Sort(keys)
-	page := magnolialedge.Page{Revision: s.revision, HasMore: len(keys) > 1}
+	page := magnolialedge.Page{Position: magnolialedge.Position{Revision: s.revision}, HasMore: len(keys) > 1}
 	for _, key := range keys[:min(1, len(keys))] {
 		page.Items = append(page.Items, s.items[key])
 	}
--- /dev/null
+++ b/io/node/metrics.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// registerStoreMetrics registers gauges for what this entry knows of the store, so
+// that entries that lag behind can be found by comparison.
+func (n *Node) registerStoreMetrics() {
+	gauges := []struct {
+		name, help string
+		value      func() float64
+	}{
+		{"routing_version", "Version of the routes in force.", func() float64 { return float64(n.forwarder.Version()) }},
+		{"store_revision", "Revision of the store that the entry's items reflect.", func() float64 { return float64(n.follower.Revision()) }},
+		{"store_era", "Number of times that the store was restored, as far as the entry knows.", func() float64 { return float64(n.follower.Era()) }},
+		{"store_age_seconds", "Time since the store was last reached, by the entry or by its source.", func() float64 { return n.follower.Staleness(time.Now()).Seconds() }},
+	}
+	for _, g := range gauges {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "magnolialedge", Name: g.name, Help: g.help}, g.value))
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -150,6 +150,7 @@
 		OnSourceLost:     n.sourceLost,
 		Log:              n.log,
 	})
+	n.registerStoreMetrics()
 	return n, nil
 }
 
--- a/keyspace.go
+++ b/keyspace.go
@@ -30,11 +30,20 @@
 	Deleted bool `json:"deleted,omitempty"`
 }
 
+// Position is a point in the history of a Keyspace. A store that is restored from
+// a copy starts a new era: its revisions continue from that of the copy, so that
+// the ones after it are used again.
+type Position struct {
+	// Era is the number of times that the store was restored.
+	Era      int64 `json:"era,omitempty"`
+	Revision int64 `json:"revision"`
+}
+
 // Page is a part of the items with a common key prefix.
 type Page struct {
 	Items []Item
-	// Revision is the store revision that the page reflects.
-	Revision int64
+	// Position is the state of the store that the page reflects.
+	Position
 	// HasMore is true if further items follow.
 	HasMore bool
 }
