Order what the store says by its era, and keep what is newer than the copy

What callers saw: 404 on a route that had been added, later than the bound after the store had acknowledged its version; at some entries and not at others. Cause: everything from the store was ordered by its revision alone. A store that returns from a copy gives revisions out again: a listing or a version with a lower revision than that of the version before was ignored as old, for as long as the item was not written again, and changes below a revision that had been reached before were never asked for. The class: a number of one epoch compared with one of another.

Change: positions are (era, revision). Values that their writer has replaced since (version of the routes, start and number of a registration), and removals, do not go back; what the copy lacks is held until it is written again. An entry whose item or lease the copy lacks lists itself again, spread over the entries. A new entry asks a peer for what the copy lacks before it is ready. Messages without an era, of earlier releases, count as being of the entry's own. Why this works: no decision compares numbers of two eras, and what decides across eras is what the writer of a value numbers itself.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -3,6 +3,7 @@
 package mirror
 
 import (
+	"bytes"
 	"time"
 
 	"magnolialedge"
@@ -29,10 +30,18 @@
 	FromPeer
 )
 
+// Config configures a Mirror.
+type Config struct {
+	// Generation returns the order of an item's value among all values of its key.
+	// nil means that values have no order of their own.
+	Generation func(magnolialedge.Item) magnolialedge.Generation
+}
+
 // Mirror holds a copy of a store's items. It is not safe for concurrent use.
 type Mirror struct {
+	cfg      Config
 	items    map[string]magnolialedge.Item
-	revision int64
+	position magnolialedge.Position
 	// failingSince is the time of the first failure since the last success, or
 	// zero.
 	failingSince time.Time
@@ -41,16 +50,17 @@
 	// heldRemovals holds removals, by key, that are not applied yet because the
 	// items may be written again after an outage.
 	heldRemovals map[string]magnolialedge.Item
+	restoration  restoration
 }
 
 // New returns an empty Mirror.
-func New() *Mirror {
-	return &Mirror{items: map[string]magnolialedge.Item{}, heldRemovals: map[string]magnolialedge.Item{}}
+func New(cfg Config) *Mirror {
+	return &Mirror{cfg: cfg, items: map[string]magnolialedge.Item{}, heldRemovals: map[string]magnolialedge.Item{}, restoration: newRestoration()}
 }
 
-// Revision returns the store revision that the mirror reflects.
-func (m *Mirror) Revision() int64 {
-	return m.revision
+// Position returns the state of the store that the mirror reflects.
+func (m *Mirror) Position() magnolialedge.Position {
+	return m.position
 }
 
 // Len returns the number of items, including those whose removal is held.
@@ -98,13 +108,17 @@
 	m.failingSince = time.Time{}
 }
 
-// ApplySnapshot replaces the items by a complete list as of revision and
-// returns the changes that took effect. A snapshot older than the mirror is
-// ignored.
-func (m *Mirror) ApplySnapshot(now time.Time, from Origin, items []magnolialedge.Item, revision int64) []magnolialedge.Item {
-	if revision < m.revision {
+// ApplySnapshot replaces the items by a complete list as of a position and returns
+// the changes that took effect. A snapshot older than the mirror is ignored. One of
+// a new era comes from a store that was restored from a copy: what the mirror knows
+// to be newer than the copy is kept.
+func (m *Mirror) ApplySnapshot(now time.Time, from Origin, items []magnolialedge.Item, p magnolialedge.Position) []magnolialedge.Item {
+	if p.Before(m.position) {
 		return nil
 	}
+	if p.Era > m.position.Era {
+		m.beginEra(now, p.Era)
+	}
 	listed := make(map[string]bool, len(items))
 	var effective []magnolialedge.Item
 	for _, it := range items {
@@ -114,18 +128,22 @@
 		}
 		effective = m.applyPut(effective, it)
 	}
+	m.restoration.retain(listed)
 	for key, it := range m.items {
-		if !listed[key] && it.Revision <= revision {
-			effective = m.applyRemoval(effective, now, magnolialedge.Item{Key: key, Revision: revision, Deleted: true})
+		if !listed[key] && it.Revision <= p.Revision {
+			effective = m.applyRemoval(effective, now, magnolialedge.Item{Key: key, Revision: p.Revision, Deleted: true})
 		}
 	}
-	m.revision = revision
+	m.position = p
 	return effective
 }
 
-// ApplyChanges applies changes up to revision and returns those that took
-// effect.
-func (m *Mirror) ApplyChanges(now time.Time, changes []magnolialedge.Item, revision int64) []magnolialedge.Item {
+// ApplyChanges applies changes up to a position and returns those that took effect.
+// Changes of another era than that of the mirror are ignored.
+func (m *Mirror) ApplyChanges(now time.Time, changes []magnolialedge.Item, p magnolialedge.Position) []magnolialedge.Item {
+	if p.Era != m.position.Era {
+		return nil
+	}
 	var effective []magnolialedge.Item
 	for _, c := range changes {
 		switch {
@@ -135,21 +153,23 @@
 			effective = m.applyPut(effective, c)
 		}
 	}
-	m.revision = max(m.revision, revision)
+	m.position.Revision = max(m.position.Revision, p.Revision)
 	return effective
 }
 
 // ExpireHeld applies the held removals once removalHold has passed since the
-// end of the outage, and returns them.
+// end of the outage, and the held items of a copy once copyHold has passed since
+// the restoration. It returns the changes that took effect.
 func (m *Mirror) ExpireHeld(now time.Time) []magnolialedge.Item {
+	var effective []magnolialedge.Item
+	for _, it := range m.restoration.expireCopies(now) {
+		effective = m.applyPut(effective, it)
+	}
 	if m.isHoldingRemovals(now) {
-		return nil
+		return effective
 	}
-	var effective []magnolialedge.Item
-	for key, it := range m.heldRemovals {
-		delete(m.heldRemovals, key)
-		delete(m.items, key)
-		effective = append(effective, it)
+	for _, it := range m.heldRemovals {
+		effective = m.remove(effective, now, it)
 	}
 	return effective
 }
@@ -169,26 +189,49 @@
 // revision, so that it must have been removed since.
 func (m *Mirror) isRemoved(it magnolialedge.Item) bool {
 	_, known := m.items[it.Key]
-	return !known && it.Revision <= m.revision
+	return !known && it.Revision <= m.position.Revision
 }
 
-// applyPut stores an item, which cancels a held removal of an older revision,
-// and appends it to effective if it is newer than the stored one.
+// applyPut stores an item, which cancels a held removal of an older revision, and
+// appends it to effective if it is newer than the stored one. A value that its writer
+// has replaced since is not stored.
 func (m *Mirror) applyPut(effective []magnolialedge.Item, it magnolialedge.Item) []magnolialedge.Item {
 	old, known := m.items[it.Key]
-	if held, ok := m.heldRemovals[it.Key]; ok && it.Revision > held.Revision {
+	if !known && m.restoration.holds(it, m.generation) {
+		return effective
+	}
+	held, isHeld := m.heldRemovals[it.Key]
+	cancelsRemoval := isHeld && it.Revision > held.Revision
+	if cancelsRemoval {
 		delete(m.heldRemovals, it.Key)
 	}
-	if known && it.Revision <= old.Revision {
+	if known && m.isReplaced(it, old) {
+		it.Value = old.Value
+	}
+	if known && !m.supersedes(it, old) {
 		return effective
 	}
 	m.items[it.Key] = it
+	isUnchanged := known && m.restoration.hasBegun() && bytes.Equal(it.Value, old.Value)
+	if isUnchanged && !cancelsRemoval {
+		return effective
+	}
 	return append(effective, it)
 }
 
+// supersedes reports whether an item is newer than the stored one. Two values of one
+// revision are possible after a restoration, which some entries have not witnessed.
+func (m *Mirror) supersedes(it, old magnolialedge.Item) bool {
+	if it.Revision != old.Revision {
+		return it.Revision > old.Revision
+	}
+	return !bytes.Equal(it.Value, old.Value) && m.generation(old).Before(m.generation(it))
+}
+
 // applyRemoval removes an item that is not newer than the removal, or holds the
 // removal, and appends it to effective if it was applied.
 func (m *Mirror) applyRemoval(effective []magnolialedge.Item, now time.Time, it magnolialedge.Item) []magnolialedge.Item {
+	m.restoration.drop(it.Key)
 	old, known := m.items[it.Key]
 	if !known || old.Revision > it.Revision {
 		return effective
@@ -197,7 +240,20 @@
 		m.heldRemovals[it.Key] = it
 		return effective
 	}
+	return m.remove(effective, now, it)
+}
+
+// remove applies a removal and appends it to effective.
+func (m *Mirror) remove(effective []magnolialedge.Item, now time.Time, it magnolialedge.Item) []magnolialedge.Item {
+	m.restoration.remember(now, m.items[it.Key])
 	delete(m.items, it.Key)
 	delete(m.heldRemovals, it.Key)
 	return append(effective, it)
 }
+
+func (m *Mirror) generation(it magnolialedge.Item) magnolialedge.Generation {
+	if m.cfg.Generation == nil {
+		return magnolialedge.Generation{}
+	}
+	return m.cfg.Generation(it)
+}
--- a/core/mirror/random_test.go
+++ b/core/mirror/random_test.go
@@ -58,7 +58,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := &storeModel{items: map[string]magnolialedge.Item{}, revision: 1}
 		now := start
-		watcher, reader := New(), New()
+		watcher, reader := New(Config{}), New(Config{})
 		var lastChanges []magnolialedge.Item
 		down := false
 		key := func() string { return fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key")) }
@@ -75,27 +75,27 @@
 					return
 				}
 				watcher.RecordSuccess(now)
-				lastChanges = store.since(watcher.Revision())
-				watcher.ApplyChanges(now, lastChanges, store.revision)
+				lastChanges = store.since(watcher.Position().Revision)
+				watcher.ApplyChanges(now, lastChanges, position(store.revision))
 			},
 			"list": func(*rapid.T) {
 				if !down {
 					watcher.RecordSuccess(now)
-					watcher.ApplySnapshot(now, FromStore, store.list(), store.revision)
+					watcher.ApplySnapshot(now, FromStore, store.list(), position(store.revision))
 				}
 			},
-			"repeat": func(*rapid.T) { watcher.ApplyChanges(now, lastChanges, watcher.Revision()) },
+			"repeat": func(*rapid.T) { watcher.ApplyChanges(now, lastChanges, watcher.Position()) },
 			"tick":   func(*rapid.T) { watcher.ExpireHeld(now); reader.ExpireHeld(now) },
-			"peer":   func(*rapid.T) { reader.ApplySnapshot(now, FromPeer, watcher.Confirmed(), watcher.Revision()) },
+			"peer":   func(*rapid.T) { reader.ApplySnapshot(now, FromPeer, watcher.Confirmed(), watcher.Position()) },
 			"direct": func(*rapid.T) {
 				if !down {
 					reader.RecordSuccess(now)
-					reader.ApplySnapshot(now, FromStore, store.list(), store.revision)
+					reader.ApplySnapshot(now, FromStore, store.list(), position(store.revision))
 				}
 			},
 			"": func(t *rapid.T) {
 				for _, m := range []*Mirror{watcher, reader} {
-					require.LessOrEqual(t, m.Revision(), store.revision)
+					require.LessOrEqual(t, m.Position().Revision, store.revision)
 					for _, it := range m.Items() {
 						require.False(t, it.Deleted)
 					}
@@ -104,7 +104,7 @@
 		})
 		for _, m := range []*Mirror{watcher, reader} {
 			m.RecordSuccess(now)
-			m.ApplySnapshot(now, FromStore, store.list(), store.revision)
+			m.ApplySnapshot(now, FromStore, store.list(), position(store.revision))
 			m.ExpireHeld(now.Add(removalHold + time.Millisecond))
 			require.ElementsMatch(t, store.list(), m.Items())
 		}
@@ -120,17 +120,17 @@
 			store.change(fmt.Sprint(i), false)
 		}
 		old, oldRevision := store.list(), store.revision
-		m := New()
-		m.ApplySnapshot(start, FromStore, old, oldRevision)
+		m := New(Config{})
+		m.ApplySnapshot(start, FromStore, old, position(oldRevision))
 		removedKey := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "removedKey"))
 		store.change(removedKey, true)
-		m.ApplyChanges(start, store.since(oldRevision), store.revision)
+		m.ApplyChanges(start, store.since(oldRevision), position(store.revision))
 		for range rapid.IntRange(1, 6).Draw(t, "messages") {
 			revision := store.revision + int64(rapid.IntRange(-3, 3).Draw(t, "revision"))
 			if rapid.Bool().Draw(t, "snapshot") {
-				m.ApplySnapshot(start, FromPeer, old, revision)
+				m.ApplySnapshot(start, FromPeer, old, position(revision))
 			} else {
-				m.ApplyChanges(start, old, revision)
+				m.ApplyChanges(start, old, position(revision))
 			}
 			for _, it := range m.Items() {
 				require.NotEqual(t, removedKey, it.Key)
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -32,6 +32,11 @@
 	Store magnolialedge.Keyspace
 	// Prefix is the prefix of the keys to follow.
 	Prefix string
+	// Generation returns the order of an item's value among all values of its key.
+	Generation func(magnolialedge.Item) magnolialedge.Generation
+	// OnRestored receives all listed items when the store turns out to have been
+	// restored from a copy; it may be nil.
+	OnRestored func([]magnolialedge.Item)
 	// OnChange receives each change that has an effect, in order.
 	OnChange func([]magnolialedge.Item)
 	// Sources returns the addresses of the peers to subscribe to, in order of
@@ -98,8 +103,6 @@
 	// hops is the number of entries between this one and the store as of
 	// reachedAt; 0 means that this entry reached the store itself.
 	hops int
-	// era is the latest era of the store that its replies have named.
-	era int64
 	// unreachable is set from a failed call until the store is reached again.
 	unreachable bool
 	subscribers map[chan message]struct{}
@@ -111,7 +114,7 @@
 	if cfg.Timing == (mirror.Timing{}) {
 		cfg.Timing = mirror.TimingFor(mirror.DefaultPropagation)
 	}
-	return &Follower{cfg: cfg, mirror: mirror.New(), subscribers: map[chan message]struct{}{}}
+	return &Follower{cfg: cfg, mirror: mirror.New(mirror.Config{Generation: cfg.Generation}), subscribers: map[chan message]struct{}{}}
 }
 
 // Run follows the store until ctx is done.
@@ -185,7 +188,18 @@
 func (f *Follower) Revision() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.mirror.Revision()
+	return f.mirror.Position().Revision
+}
+
+// Era returns the era of the store to which the follower's items belong.
+func (f *Follower) Era() int64 {
+	return f.position().Era
+}
+
+func (f *Follower) position() magnolialedge.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.mirror.Position()
 }
 
 // Subscribers returns the number of entries that receive changes from this one.
@@ -225,8 +239,8 @@
 		go f.listUnlessInitialized(ctx)
 	case err == nil:
 		pause.Sleep(ctx, f.cfg.Timing.WatchInterval-time.Since(start))
-	case errors.Is(err, magnolialedge.ErrHistoryLost):
-		f.cfg.Log.Log(event.HistoryLost, "revision", f.Revision())
+	case errors.Is(err, magnolialedge.ErrHistoryLost), errors.Is(err, magnolialedge.ErrRestored):
+		f.cfg.Log.Log(event.HistoryLost, "revision", f.Revision(), "era", f.Era(), "cause", err)
 		f.setListed(false)
 	default:
 		f.recordFailure(err)
@@ -249,15 +263,18 @@
 // are sources afterwards, it leaves the rest to them and returns errListingDeferred.
 func (f *Follower) list(ctx context.Context, mayDefer bool) error {
 	var items []magnolialedge.Item
-	revision, after := int64(-1), ""
+	var first magnolialedge.Page
+	after := ""
 	for {
 		page, err := f.cfg.Store.Range(ctx, f.cfg.Prefix, after)
 		if err != nil {
 			return err
 		}
-		f.recordEra(page.Position)
-		if revision < 0 {
-			revision = page.Revision
+		if after == "" {
+			first = page
+		}
+		if err := f.checkEra(page.Era, first.Era); err != nil {
+			return err
 		}
 		items = append(items, page.Items...)
 		if !page.HasMore || len(page.Items) == 0 {
@@ -272,7 +289,8 @@
 			}
 		}
 	}
-	f.apply(mirror.FromStore, message{Snapshot: true, Items: items, Revision: revision}, time.Now())
+	f.consultPeers(ctx, items, first.Era)
+	f.apply(mirror.FromStore, message{Snapshot: true, Items: items, Position: first.Position}, time.Now())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.isListed = true
@@ -283,12 +301,15 @@
 
 // fetchChanges waits for changes of the store and applies them.
 func (f *Follower) fetchChanges(ctx context.Context) error {
-	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, f.Revision(), f.watchWait())
+	asked := f.position()
+	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, asked.Revision, f.watchWait())
 	if err != nil {
 		return err
 	}
-	f.recordEra(page.Position)
-	f.apply(mirror.FromStore, message{Items: page.Items, Revision: page.Revision}, time.Now())
+	if err := f.checkEra(page.Era, asked.Era); err != nil {
+		return err
+	}
+	f.apply(mirror.FromStore, message{Items: page.Items, Position: page.Position}, time.Now())
 	f.setHops(0)
 	return nil
 }
@@ -318,33 +339,21 @@
 		f.unreachable = false
 		f.cfg.Log.Log(event.StoreReachable, "revision", m.Revision)
 	}
-	var effective []magnolialedge.Item
-	if m.Snapshot {
-		if own := f.mirror.Revision(); m.Revision < own {
-			f.cfg.Log.Log(event.OlderListIgnored, "revision", m.Revision, "ownRevision", own, "era", f.era, "items", len(m.Items))
-		}
-		effective = f.mirror.ApplySnapshot(now, from, m.Items, m.Revision)
-	} else {
-		effective = f.mirror.ApplyChanges(now, m.Items, m.Revision)
+	own := f.mirror.Position()
+	if !m.Snapshot {
+		f.notify(f.mirror.ApplyChanges(now, m.Items, m.Position))
+		return
 	}
-	f.notify(effective)
-}
-
-// recordEra logs a reply of the store that names another era than the replies before.
-func (f *Follower) recordEra(p magnolialedge.Position) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if p.Era != f.era {
-		f.cfg.Log.Log(event.StoreRestored, "era", p.Era, "previousEra", f.era, "revision", p.Revision, "ownRevision", f.mirror.Revision())
-		f.era = p.Era
+	if m.Position.Before(own) {
+		f.cfg.Log.Log(event.OlderListIgnored, "revision", m.Revision, "era", m.Era, "ownRevision", own.Revision, "ownEra", own.Era, "items", len(m.Items))
 	}
-}
-
-// Era returns the latest era of the store that its replies have named.
-func (f *Follower) Era() int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.era
+	effective := f.mirror.ApplySnapshot(now, from, m.Items, m.Position)
+	if own.Revision == 0 || m.Era <= own.Era {
+		f.notify(effective)
+		return
+	}
+	f.cfg.Log.Log(event.StoreRestored, "era", m.Era, "previousEra", own.Era, "revision", m.Revision, "previousRevision", own.Revision, "changes", len(effective), "held", f.mirror.HeldCount())
+	f.notifyRestored(effective)
 }
 
 // notify passes effective changes to OnChange and to the subscribers. f.mu must be
@@ -352,8 +361,8 @@
 func (f *Follower) notify(changes []magnolialedge.Item) {
 	if len(changes) > 0 {
 		f.cfg.OnChange(changes)
+		f.publish(message{Items: changes, Position: f.mirror.Position()})
 	}
-	f.publish(message{Items: changes, Revision: f.mirror.Revision()})
 }
 
 // recordFailure records a failed call to the store, and logs the first one since the
@@ -364,7 +373,7 @@
 	f.mirror.RecordFailure(time.Now())
 	if !f.unreachable {
 		f.unreachable = true
-		f.cfg.Log.Log(event.StoreUnreachable, "err", err, "revision", f.mirror.Revision())
+		f.cfg.Log.Log(event.StoreUnreachable, "err", err, "revision", f.mirror.Position().Revision)
 	}
 }
 
--- a/io/mirror/follower_test.go
+++ b/io/mirror/follower_test.go
@@ -33,6 +33,8 @@
 	history           []magnolialedge.Item
 	compactedRevision int64
 	revision          int64
+	// era is the number of restorations.
+	era int64
 }
 
 func newFakeStore() *fakeStore {
@@ -74,7 +76,7 @@
 	if s.down {
 		return magnolialedge.Page{}, errDown
 	}
-	page := magnolialedge.Page{Position: magnolialedge.Position{Revision: s.revision}}
+	page := magnolialedge.Page{Position: magnolialedge.Position{Era: s.era, Revision: s.revision}}
 	for _, it := range s.items {
 		page.Items = append(page.Items, it)
 	}
@@ -98,10 +100,10 @@
 	if s.down {
 		return magnolialedge.Page{}, errDown
 	}
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision {
 		return magnolialedge.Page{}, magnolialedge.ErrHistoryLost
 	}
-	page := magnolialedge.Page{Position: magnolialedge.Position{Revision: s.revision}}
+	page := magnolialedge.Page{Position: magnolialedge.Position{Era: s.era, Revision: s.revision}}
 	for _, it := range s.history {
 		if it.Revision > after {
 			page.Items = append(page.Items, it)
@@ -291,7 +293,7 @@
 	compressed, err := compressItems(items)
 	require.NoError(t, err)
 	require.Less(t, len(compressed), 100*300/5)
-	line, err := json.Marshal(message{Snapshot: true, Compressed: compressed, Revision: 200})
+	line, err := json.Marshal(message{Snapshot: true, Compressed: compressed, Position: magnolialedge.Position{Revision: 200}})
 	require.NoError(t, err)
 	slowSource := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		line = append(line, '\n')
--- /dev/null
+++ b/io/mirror/reader.go
@@ -0,0 +1,135 @@
+package mirror
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/core/mirror"
+)
+
+// streamReader reads the messages of a source's stream.
+type streamReader struct {
+	body    io.ReadCloser
+	scanner *bufio.Scanner
+	// idleTimer ends the stream if no bytes arrive for the idle timeout.
+	idleTimer *time.Timer
+	cancel    context.CancelFunc
+}
+
+// openStream opens the stream of a source. The reader must be closed.
+func (f *Follower) openStream(ctx context.Context, address string, l limits) (*streamReader, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	query := url.Values{subscriberParam: {f.cfg.Name}}
+	if l.staleness == unlimitedStaleness {
+		query.Set(anyAgeParam, "1")
+	}
+	r := &streamReader{cancel: cancel, idleTimer: time.AfterFunc(f.cfg.Timing.IdleTimeout, cancel)}
+	body, err := f.cfg.Dialer.Open(ctx, address, StreamPath+"?"+query.Encode())
+	if err != nil {
+		r.idleTimer.Stop()
+		cancel()
+		return nil, err
+	}
+	r.body = body
+	r.scanner = bufio.NewScanner(&activityReader{r: body, onRead: func() { r.idleTimer.Reset(f.cfg.Timing.IdleTimeout) }})
+	r.scanner.Buffer(make([]byte, 0, 4<<10), maxMessageBytes)
+	return r, nil
+}
+
+// unknownEra is the era of a message that names none, as those of entries of earlier
+// releases.
+const unknownEra = -1
+
+// next returns the next message, with the items of a snapshot still compressed. A
+// message that names no era gets the given one.
+func (r *streamReader) next(era int64) (message, error) {
+	if !r.scanner.Scan() {
+		return message{}, errors.Wrap(cmp.Or(r.scanner.Err(), io.EOF), "stream ended")
+	}
+	m := message{Position: magnolialedge.Position{Era: unknownEra}}
+	if err := json.Unmarshal(r.scanner.Bytes(), &m); err != nil {
+		return message{}, errors.Wrap(err, "stream")
+	}
+	if m.Era == unknownEra {
+		m.Era = era
+	}
+	return m, nil
+}
+
+// Close ends the stream.
+func (r *streamReader) Close() {
+	r.idleTimer.Stop()
+	_ = r.body.Close()
+	r.cancel()
+}
+
+// follow applies the messages of a source until its stream ends, the source exceeds
+// the limits, or its snapshot is older than this entry's items.
+func (f *Follower) follow(ctx context.Context, address string, l limits) error {
+	r, err := f.openStream(ctx, address, l)
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	for {
+		m, err := r.next(f.Era())
+		if err != nil {
+			return err
+		}
+		if err := f.check(m, l); err != nil {
+			return err
+		}
+		if err := m.decompress(); err != nil {
+			return err
+		}
+		if len(m.Unreachable) > 0 && f.cfg.OnUnreachable != nil {
+			f.cfg.OnUnreachable(m.Unreachable)
+		}
+		f.apply(mirror.FromPeer, m, time.Now().Add(-m.age()))
+		f.setHops(m.Hops + 1)
+		if l.staleness != unlimitedStaleness {
+			f.setInitialized()
+		}
+	}
+}
+
+// check returns an error if a source exceeds the limits or is behind this entry.
+func (f *Follower) check(m message, l limits) error {
+	own := f.position()
+	isLimited := l.staleness != unlimitedStaleness
+	switch {
+	case isLimited && m.age() > l.staleness:
+		return errSourceStale
+	case m.Hops > l.hops:
+		return errSourceIndirect
+	case isLimited && m.Snapshot && m.Position.Before(own):
+		return errSourceBehind
+	case !m.Snapshot && m.Era != own.Era:
+		return errOtherEra
+	}
+	return nil
+}
+
+// activityReader calls onRead after each read of data, so that a long message on a
+// slow link does not count as an idle stream.
+type activityReader struct {
+	r      io.Reader
+	onRead func()
+}
+
+// Read implements io.Reader.
+func (a *activityReader) Read(b []byte) (int, error) {
+	n, err := a.r.Read(b)
+	if n > 0 {
+		a.onRead()
+	}
+	return n, err
+}
--- a/io/mirror/snapshot.go
+++ b/io/mirror/snapshot.go
@@ -12,11 +12,11 @@
 	"magnolialedge/io/event"
 )
 
-// snapshotCache holds the compressed snapshot of one revision, because many
+// snapshotCache holds the compressed snapshot of one position, because many
 // subscribers request it at the same time when all entries start.
 type snapshotCache struct {
 	compressed []byte
-	revision   int64
+	position   magnolialedge.Position
 	itemCount  int
 }
 
@@ -24,7 +24,7 @@
 // be held.
 func (f *Follower) compressedSnapshot() []byte {
 	items := f.mirror.Confirmed()
-	if f.snapshots.compressed != nil && f.snapshots.revision == f.mirror.Revision() && f.snapshots.itemCount == len(items) {
+	if f.snapshots.compressed != nil && f.snapshots.position == f.mirror.Position() && f.snapshots.itemCount == len(items) {
 		return f.snapshots.compressed
 	}
 	compressed, err := compressItems(items)
@@ -32,7 +32,7 @@
 		f.cfg.Log.Log(event.SourceLost, "err", err)
 		return nil
 	}
-	f.snapshots = snapshotCache{compressed: compressed, revision: f.mirror.Revision(), itemCount: len(items)}
+	f.snapshots = snapshotCache{compressed: compressed, position: f.mirror.Position(), itemCount: len(items)}
 	return compressed
 }
 
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -1,19 +1,16 @@
 package mirror
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"io"
 	"math"
 	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
-	"magnolialedge/core/mirror"
 	"magnolialedge/io/event"
 	"magnolialedge/io/pause"
 )
@@ -43,6 +40,7 @@
 	errSourceStale    = errors.New("the source has not reached the store within the staleness limit")
 	errSourceIndirect = errors.New("the source follows other entries instead of the store")
 	errSourceBehind   = errors.New("the source is at an older revision than this entry")
+	errOtherEra       = errors.New("the source's changes belong to another era of the store")
 )
 
 // message is one line of a stream.
@@ -53,7 +51,7 @@
 	// Compressed holds the items of a snapshot in place of Items, as
 	// gzip-compressed JSON.
 	Compressed []byte `json:"packed,omitempty"`
-	Revision   int64  `json:"revision"`
+	magnolialedge.Position
 	// AgeMs is the time since the source last reached the store.
 	AgeMs int64 `json:"ageMs"`
 	// Hops is the number of entries between the source and the store.
@@ -62,6 +60,11 @@
 	Unreachable []string `json:"unreachable,omitempty"`
 }
 
+// age returns the time since the source last reached the store.
+func (m message) age() time.Duration {
+	return time.Duration(m.AgeMs) * time.Millisecond
+}
+
 // PeerDialer opens a change stream of another entry.
 type PeerDialer interface {
 	Open(ctx context.Context, address, path string) (io.ReadCloser, error)
@@ -171,76 +174,9 @@
 // the store.
 const unlimitedStaleness = time.Duration(0)
 
-// follow applies the messages of a source until its stream ends, the source exceeds
-// the limits, or its snapshot is older than this entry's items.
-func (f *Follower) follow(ctx context.Context, address string, l limits) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	idleTimer := time.AfterFunc(f.cfg.Timing.IdleTimeout, cancel)
-	defer idleTimer.Stop()
-	query := url.Values{subscriberParam: {f.cfg.Name}}
-	if l.staleness == unlimitedStaleness {
-		query.Set(anyAgeParam, "1")
-	}
-	body, err := f.cfg.Dialer.Open(ctx, address, StreamPath+"?"+query.Encode())
-	if err != nil {
-		return err
-	}
-	defer body.Close()
-	scanner := bufio.NewScanner(&activityReader{r: body, onRead: func() { idleTimer.Reset(f.cfg.Timing.IdleTimeout) }})
-	scanner.Buffer(make([]byte, 0, 4<<10), maxMessageBytes)
-	for scanner.Scan() {
-		var m message
-		if err := json.Unmarshal(scanner.Bytes(), &m); err != nil {
-			return errors.Wrap(err, "stream")
-		}
-		staleness := time.Duration(m.AgeMs) * time.Millisecond
-		if l.staleness != unlimitedStaleness && staleness > l.staleness {
-			return errSourceStale
-		}
-		if m.Hops > l.hops {
-			return errSourceIndirect
-		}
-		if l.staleness != unlimitedStaleness && m.Snapshot && m.Revision < f.Revision() {
-			return errSourceBehind
-		}
-		if err := m.decompress(); err != nil {
-			return err
-		}
-		if len(m.Unreachable) > 0 && f.cfg.OnUnreachable != nil {
-			f.cfg.OnUnreachable(m.Unreachable)
-		}
-		f.apply(mirror.FromPeer, m, time.Now().Add(-staleness))
-		f.setHops(m.Hops + 1)
-		if l.staleness != unlimitedStaleness {
-			f.setInitialized()
-		}
-	}
-	return errors.Wrap(scanner.Err(), "stream ended")
-}
-
-// activityReader calls onRead after each read of data, so that a long message on a
-// slow link does not count as an idle stream.
-type activityReader struct {
-	r      io.Reader
-	onRead func()
-}
-
-// Read implements io.Reader.
-func (a *activityReader) Read(b []byte) (int, error) {
-	n, err := a.r.Read(b)
-	if n > 0 {
-		a.onRead()
-	}
-	return n, err
-}
-
 // publish queues changes for all subscribers and disconnects those whose queue
 // is full; f.mu must be held.
 func (f *Follower) publish(m message) {
-	if len(m.Items) == 0 {
-		return
-	}
 	for sub := range f.subscribers {
 		select {
 		case sub <- m:
@@ -258,7 +194,7 @@
 	defer f.mu.Unlock()
 	sub := make(chan message, maxQueuedMessages)
 	f.subscribers[sub] = struct{}{}
-	return message{Snapshot: true, Compressed: f.compressedSnapshot(), Revision: f.mirror.Revision()}, sub
+	return message{Snapshot: true, Compressed: f.compressedSnapshot(), Position: f.mirror.Position()}, sub
 }
 
 func (f *Follower) unsubscribe(sub chan message) {
@@ -305,7 +241,7 @@
 			}
 			m = next
 		case <-heartbeat.C:
-			m.Revision = f.Revision()
+			m.Position = f.position()
 			m.Unreachable = f.unreachablePeers()
 		}
 		if !f.send(w, m) {
--- a/io/node/announce.go
+++ b/io/node/announce.go
@@ -27,59 +27,112 @@
 	storeReturnJitter = 300 * time.Millisecond
 )
 
+// listing is the state of this entry's own item in the store.
+type listing struct {
+	lease magnolialedge.Lease
+	// isWritten is set while the item is in the store, as far as this entry knows,
+	// and writtenLeaving is whether it says that the entry is leaving.
+	isWritten      bool
+	writtenLeaving bool
+	failures       int
+	// waitsForStore is set if the last call failed because the store was away.
+	waitsForStore bool
+	// nextRefresh is the time of the next call.
+	nextRefresh time.Time
+}
+
+// reset makes the next call open a lease and write the item again.
+func (l *listing) reset(nextRefresh time.Time) {
+	l.lease, l.isWritten = magnolialedge.Lease{}, false
+	l.nextRefresh = nextRefresh
+}
+
 // announce keeps this entry listed in the store until ctx is done, then revokes
 // its lease.
 func (n *Node) announce(ctx context.Context) {
-	var lease magnolialedge.Lease
-	timing := n.leaseTiming()
-	isWritten, writtenLeaving := false, false
-	failures, waitsForStore := 0, false
-	nextRefresh := time.Now()
+	l := &listing{nextRefresh: time.Now()}
 	for ctx.Err() == nil {
+		n.observeStore(time.Now(), l)
 		leaving := n.isLeaving.Load()
-		if n.members.consumeDelisted() {
-			lease, isWritten = magnolialedge.Lease{}, false
-			nextRefresh = time.Now()
-		}
-		if waitsForStore && n.follower.Staleness(time.Now()) < storeLossAge {
-			waitsForStore = false
-			nextRefresh = time.Now().Add(rand.N(storeReturnJitter))
-		}
-		if time.Now().Before(nextRefresh) && leaving == writtenLeaving {
+		if time.Now().Before(l.nextRefresh) && leaving == l.writtenLeaving {
 			pause.Sleep(ctx, announcePollInterval)
 			continue
 		}
-		nextRefresh = time.Now().Add(timing.RenewInterval)
-		err := n.refreshListing(ctx, &lease, isWritten && leaving == writtenLeaving)
-		if errors.Is(err, magnolialedge.ErrLeaseEnded) {
-			lease, isWritten = magnolialedge.Lease{}, false
-			nextRefresh = time.Now()
-			pause.Sleep(ctx, announcePollInterval)
-			continue
-		}
-		if err != nil {
-			n.log.Log(event.AnnounceFailed, "err", err, "lease", lease.ID)
-			isWritten = isWritten && leaving == writtenLeaving
-			writtenLeaving = leaving
-			failures++
-			waitsForStore = n.follower.Staleness(time.Now()) >= storeLossAge
-			nextRefresh = time.Now().Add(timing.RetryDelay(failures))
-			continue
+		n.refreshListing(ctx, l, leaving)
+	}
+	n.revokeListing(l.lease)
+}
+
+// observeStore applies what the store says about this entry's item.
+func (n *Node) observeStore(now time.Time, l *listing) {
+	if n.members.consumeDelisted() {
+		l.reset(now)
+	}
+	if own, ok := n.members.consumeRestored(); ok {
+		next := now.Add(rand.N(restorationSpread(n.members.size())))
+		if n.isLeaving.Load() || !isListedAs(own, n.self(), l.lease) {
+			l.reset(next)
 		}
-		isWritten, writtenLeaving = true, leaving
-		failures, waitsForStore = 0, false
-		n.isListed.Store(true)
+		l.nextRefresh = next
+	}
+	if l.waitsForStore && n.follower.Staleness(now) < storeLossAge {
+		l.waitsForStore = false
+		l.nextRefresh = now.Add(rand.N(storeReturnJitter))
+	}
+}
+
+const (
+	// restorationSpreadPerEntry is the time per entry over which the entries list
+	// themselves again in a store that was restored. It keeps hundreds of entries
+	// within the rates of the store.
+	restorationSpreadPerEntry = 4 * time.Millisecond
+	// maxRestorationSpread limits that time, because callers are steered away from
+	// entries that are not listed.
+	maxRestorationSpread = 1200 * time.Millisecond
+)
+
+func restorationSpread(entries int) time.Duration {
+	return min(maxRestorationSpread, max(storeReturnJitter, time.Duration(entries)*restorationSpreadPerEntry))
+}
+
+// isListedAs reports whether a listed item is the one that this run of the entry
+// wrote under its lease. The store may have given the lease's ID to another entry.
+func isListedAs(item magnolialedge.Item, self magnolialedge.Instance, lease magnolialedge.Lease) bool {
+	in, ok := memberOf(item)
+	return ok && lease.ID != 0 && item.Lease == lease.ID && in.StartedAt == self.StartedAt
+}
+
+// refreshListing renews the lease or writes the item, and schedules the next call.
+func (n *Node) refreshListing(ctx context.Context, l *listing, leaving bool) {
+	l.nextRefresh = time.Now().Add(n.leaseTiming().RenewInterval)
+	isCurrent := l.isWritten && leaving == l.writtenLeaving
+	err := n.callForListing(ctx, &l.lease, isCurrent)
+	if errors.Is(err, magnolialedge.ErrLeaseEnded) {
+		l.reset(time.Now())
+		pause.Sleep(ctx, announcePollInterval)
+		return
+	}
+	l.writtenLeaving = leaving
+	if err != nil {
+		n.log.Log(event.AnnounceFailed, "err", err, "lease", l.lease.ID)
+		l.isWritten = isCurrent
+		l.failures++
+		l.waitsForStore = n.follower.Staleness(time.Now()) >= storeLossAge
+		l.nextRefresh = time.Now().Add(n.leaseTiming().RetryDelay(l.failures))
+		return
 	}
-	n.revokeListing(lease)
+	l.isWritten = true
+	l.failures, l.waitsForStore = 0, false
+	n.isListed.Store(true)
 }
 
 func (n *Node) leaseTiming() proc.LeaseTiming {
 	return proc.LeaseTimingFor(n.settings.MaxPropagation, n.settings.MinLeaseTTL)
 }
 
-// refreshListing opens a lease if there is none, and then renews it if the entry
+// callForListing opens a lease if there is none, and then renews it if the entry
 // is already written, or else writes the entry.
-func (n *Node) refreshListing(ctx context.Context, lease *magnolialedge.Lease, isWritten bool) error {
+func (n *Node) callForListing(ctx context.Context, lease *magnolialedge.Lease, isWritten bool) error {
 	if lease.ID == 0 {
 		granted, err := n.store.Grant(ctx, n.leaseTiming().TTL)
 		if err != nil {
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -51,6 +51,10 @@
 	reach     *proc.Reachability
 	// delisted is set when the store no longer lists this entry.
 	delisted bool
+	// restored is set when the store was restored from a copy, and ownItem is this
+	// entry's item in the copy.
+	restored bool
+	ownItem  magnolialedge.Item
 }
 
 func newMembers(self magnolialedge.Instance) *members {
@@ -67,8 +71,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.hints = nil
-	var in magnolialedge.Instance
-	if item.Deleted || json.Unmarshal(item.Value, &in) != nil {
+	in, valid := memberOf(item)
+	if !valid {
 		delete(m.byName, name)
 		delete(m.selfReported, name)
 		delete(m.endedRuns, name)
@@ -90,16 +94,52 @@
 	}
 	m.hints = map[string]magnolialedge.Instance{}
 	for _, item := range items {
-		var in magnolialedge.Instance
-		if !strings.HasPrefix(item.Key, membersPrefix) {
-			continue
-		}
-		if json.Unmarshal(item.Value, &in) == nil && in.Name != m.self.Name {
+		if in, ok := memberOf(item); ok && in.Name != m.self.Name {
 			m.hints[in.Name] = in
 		}
 	}
 }
 
+// memberOf decodes an item that describes an entry, and returns false for any other.
+func memberOf(item magnolialedge.Item) (magnolialedge.Instance, bool) {
+	var in magnolialedge.Instance
+	if item.Deleted || !strings.HasPrefix(item.Key, membersPrefix) || json.Unmarshal(item.Value, &in) != nil {
+		return magnolialedge.Instance{}, false
+	}
+	return in, true
+}
+
+// memberGeneration orders the states that an entry writes of itself.
+func memberGeneration(in magnolialedge.Instance) magnolialedge.Generation {
+	g := magnolialedge.Generation{Start: in.StartedAt}
+	if in.Leaving {
+		g.Count = 1
+	}
+	return g
+}
+
+// applyRestored records this entry's own item in a store that was restored.
+func (m *members) applyRestored(items []magnolialedge.Item) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.restored, m.ownItem = true, magnolialedge.Item{}
+	for _, item := range items {
+		if item.Key == membersPrefix+m.self.Name {
+			m.ownItem = item
+		}
+	}
+}
+
+// consumeRestored returns this entry's own item in the copy, and whether the store
+// was restored since the last call.
+func (m *members) consumeRestored() (magnolialedge.Item, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	restored := m.restored
+	m.restored = false
+	return m.ownItem, restored
+}
+
 // consumeDelisted reports whether the store has removed this entry from its list
 // since the last call.
 func (m *members) consumeDelisted() bool {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -133,6 +133,8 @@
 	n.follower = mirror.NewFollower(mirror.Config{
 		Store:            n.store,
 		OnChange:         n.applyChanges,
+		Generation:       n.generation,
+		OnRestored:       n.members.applyRestored,
 		Sources:          n.members.sources,
 		SpareSources:     n.members.spareSources,
 		MayWatch:         n.members.mayWatch,
--- a/io/node/restored_test.go
+++ b/io/node/restored_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"magnolialedge/platform"
 	"magnolialedge/platform/stand"
 )
 
@@ -58,3 +59,53 @@
 	tc.putConfig()
 	require.Eventually(t, func() bool { return tc.serves("/added/1") }, 2*applyTimeout, 20*time.Millisecond)
 }
+
+// Guards against an entry that is missing from the restored store, because its lease
+// was granted after the copy and its ID has been given to another entry since.
+func TestEntryIsListedAgainInARestoredStore(t *testing.T) {
+	tc := newTestCluster(t)
+	require.Eventually(t, func() bool { return tc.store.Has("members/e1") }, applyTimeout, 5*time.Millisecond)
+	copied := tc.store.Copy()
+	tc.addEntry("e2", "127.0.0.2")
+	require.Eventually(t, func() bool { return tc.store.Has("members/e2") }, applyTimeout, 5*time.Millisecond)
+	tc.restoreFromCopy(copied)
+	other := platform.OpenStore(tc.store.Address(), http.DefaultTransport.(*http.Transport), nil)
+	_, err := other.Grant(t.Context(), time.Minute)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return tc.store.Has("members/e1") && tc.store.Has("members/e2") }, 2*time.Second, 5*time.Millisecond)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		require.True(t, tc.store.Has("members/e1") && tc.store.Has("members/e2"))
+	}
+}
+
+// Guards against requests to an upstream whose drain or removal the copy lacks.
+func TestUpstreamThatLeftStaysOutWhenTheStoreIsRestored(t *testing.T) {
+	tc := newTestCluster(t)
+	removed := tc.addUpstream("u3")
+	time.Sleep(300 * time.Millisecond)
+	copied := tc.store.Copy()
+	removed.Deregister(tc.store)
+	tc.upstreams[0].Register(tc.store, "draining")
+	time.Sleep(500 * time.Millisecond)
+	tc.restoreFromCopy(copied)
+	drained, left := len(tc.upstreams[0].Runs()), len(removed.Runs())
+	l := startLoad(tc, func() string { return tc.entries[0].settings.CallerAddress }, 8)
+	time.Sleep(3 * time.Second)
+	l.stopAndCheck(t)
+	require.Len(t, tc.upstreams[0].Runs(), drained)
+	require.Len(t, removed.Runs(), left)
+}
+
+// Guards against an entry that starts from the copy alone and serves an older version
+// than the one in force at the others.
+func TestNewEntryStartsWithTheVersionThatTheCopyLacks(t *testing.T) {
+	tc := newTestCluster(t)
+	copied := tc.store.Copy()
+	tc.routes = append(tc.routes, routeJSON("added", "/added/", "safe", 1000, "svc"))
+	tc.putConfig()
+	require.Eventually(t, func() bool { return tc.isInForce(tc.version) && tc.store.Has("members/e1") }, applyTimeout, 10*time.Millisecond)
+	tc.restoreFromCopy(copied)
+	require.Eventually(t, func() bool { return tc.store.Has("members/e1") }, applyTimeout, 10*time.Millisecond)
+	tc.addEntry("e2", "127.0.0.2")
+	require.True(t, tc.serves("/added/1"))
+}
--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -33,6 +33,14 @@
 	}
 }
 
+// generation returns the order of an item's value among all values of its key.
+func (n *Node) generation(item magnolialedge.Item) magnolialedge.Generation {
+	if in, ok := memberOf(item); ok {
+		return memberGeneration(in)
+	}
+	return n.cfg.Decoder.Generation(item)
+}
+
 // decodeUpdates applies the changes that concern entries and returns the others
 // decoded.
 func (n *Node) decodeUpdates(changes []magnolialedge.Item) []update {
--- a/keyspace.go
+++ b/keyspace.go
@@ -12,6 +12,9 @@
 	// ErrHistoryLost means that changes after the requested revision are no
 	// longer available.
 	ErrHistoryLost = errors.New("changes after the requested revision are no longer in the store's history")
+	// ErrRestored means that the store was restored from a copy, so that revisions
+	// and lease IDs from before say nothing about it.
+	ErrRestored = errors.New("the store was restored from a copy")
 	// ErrLeaseEnded means that a lease has expired or was revoked.
 	ErrLeaseEnded = errors.New("the lease has expired or was revoked")
 	// ErrConditionFailed means that the condition of a transaction was not met.
@@ -28,6 +31,8 @@
 	Revision int64 `json:"revision"`
 	// Deleted is true if the key was deleted at Revision.
 	Deleted bool `json:"deleted,omitempty"`
+	// Lease is the ID of the lease that deletes the key when it ends, or 0 for none.
+	Lease int64 `json:"lease,omitempty"`
 }
 
 // Position is a point in the history of a Keyspace. A store that is restored from
@@ -35,10 +40,36 @@
 // the ones after it are used again.
 type Position struct {
 	// Era is the number of times that the store was restored.
-	Era      int64 `json:"era,omitempty"`
+	Era      int64 `json:"era"`
 	Revision int64 `json:"revision"`
 }
 
+// Before reports whether p precedes o.
+func (p Position) Before(o Position) bool {
+	if p.Era != o.Era {
+		return p.Era < o.Era
+	}
+	return p.Revision < o.Revision
+}
+
+// Generation orders the values that the writer of a key gives it. In contrast to
+// revisions, it does not go back when the store is restored from a copy.
+type Generation struct {
+	// Start is the start time of the writer in Unix milliseconds, or 0 if its values
+	// are ordered by Count alone.
+	Start int64
+	// Count rises with each value that the writer gives the key after its start.
+	Count int64
+}
+
+// Before reports whether g precedes o.
+func (g Generation) Before(o Generation) bool {
+	if g.Start != o.Start {
+		return g.Start < o.Start
+	}
+	return g.Count < o.Count
+}
+
 // Page is a part of the items with a common key prefix.
 type Page struct {
 	Items []Item
--- a/route.go
+++ b/route.go
@@ -145,6 +145,9 @@
 	// Decode decodes an item. The update may be valid even if an error is
 	// returned.
 	Decode(Item) (DiscoveryUpdate, error)
+	// Generation returns the order of an item's value among all values of its key.
+	// It is zero for an item that is deleted, unknown or invalid.
+	Generation(Item) Generation
 }
 
 // HeaderProtocol defines the headers that callers, entries and upstreams use.
