Restore the store from a copy in the soak

Cause: no test outside of io/node and core/mirror played a restored store together with other faults.

--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -91,6 +91,13 @@
 	cl.configVersions = append(cl.configVersions, configVersion{number: cl.lastVersion, at: time.Now()})
 }
 
+// rewriteConfig writes the latest version of the configuration again.
+func (cl *cluster) rewriteConfig() {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.store.Configure(cl.lastVersion, 3*serviceTime)
+}
+
 // breach records a violated invariant.
 func (cl *cluster) breach(format string, args ...any) {
 	cl.mu.Lock()
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -27,6 +27,7 @@
 	{"disrupt an entry's link to the store", disruptStoreLink},
 	{"make the store fail", failStore},
 	{"compact the store's history", compactStore},
+	{"restore the store from a copy", restoreStore},
 	{"change an upstream's response mode", changeResponseMode},
 	{"disrupt an upstream's link", disruptUpstreamLink},
 	{"restart an upstream", restartUpstream},
@@ -124,6 +125,24 @@
 	return nil
 }
 
+// restoreStore takes the store away for a moment and returns it from a copy that is
+// some time old. The operator and the upstreams then write again what the copy lacks.
+func restoreStore(ctx context.Context, cl *cluster, r *rand.Rand) error {
+	copied := cl.store.Copy()
+	pause.Sleep(ctx, randomDuration(r))
+	defer cl.disturbances.begin(allEntries)()
+	cl.store.SetFault(platform.FaultReset)
+	pause.Sleep(ctx, randomDuration(r)/2)
+	cl.store.Restore(copied)
+	cl.store.SetFault(platform.FaultNone)
+	pause.Sleep(ctx, randomDuration(r)/2)
+	cl.rewriteConfig()
+	for _, u := range cl.upstreams {
+		u.registerAgain()
+	}
+	return nil
+}
+
 // changeResponseMode makes an upstream respond in an abnormal way.
 func changeResponseMode(ctx context.Context, cl *cluster, r *rand.Rand) error {
 	u := cl.upstreams[r.IntN(len(cl.upstreams))].latest()
@@ -152,7 +171,7 @@
 	defer release()
 	u.latest().Close()
 	if r.IntN(2) == 0 {
-		u.latest().Deregister(cl.store)
+		u.deregister()
 	}
 	pause.Sleep(ctx, randomDuration(r))
 	u.start()
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -29,7 +29,10 @@
 
 	mu sync.Mutex
 	// incarnations holds all incarnations, of which current is the latest.
-	current      *platform.Upstream
+	current *platform.Upstream
+	// state is what the current incarnation has registered; empty means that it is
+	// not registered.
+	state        string
 	incarnations []*platform.Upstream
 	// drains holds the completed drains.
 	drains []timeSpan
@@ -55,7 +58,32 @@
 		AdvertisedAddress: u.linkListener.Addr().String(), Incarnation: int64(len(u.incarnations) + 1),
 	})
 	u.incarnations = append(u.incarnations, u.current)
-	u.current.Register(u.store, "ready")
+	u.register("ready")
+}
+
+// register writes the registration with a state; u.mu must be held.
+func (u *upstream) register(state string) {
+	u.state = state
+	u.current.Register(u.store, state)
+}
+
+// registerAgain writes or removes the registration according to the last state.
+func (u *upstream) registerAgain() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.state == "" {
+		u.current.Deregister(u.store)
+		return
+	}
+	u.register(u.state)
+}
+
+// deregister removes the registration.
+func (u *upstream) deregister() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.state = ""
+	u.current.Deregister(u.store)
 }
 
 // latest returns the latest incarnation, which may be closed.
@@ -69,12 +97,14 @@
 // drain.
 func (u *upstream) startDrain() (end func()) {
 	start := time.Now()
-	u.latest().Register(u.store, "draining")
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.register("draining")
 	return func() {
 		u.mu.Lock()
+		defer u.mu.Unlock()
 		u.drains = append(u.drains, timeSpan{from: start, to: time.Now()})
-		u.mu.Unlock()
-		u.latest().Register(u.store, "ready")
+		u.register("ready")
 	}
 }
 
