--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -98,6 +98,13 @@
 	cl.store.Configure(cl.lastVersion, 3*serviceTime)
 }
 
+// registerUpstreamsAgain repeats the last registration or removal of each upstream.
+func (cl *cluster) registerUpstreamsAgain() {
+	for _, u := range cl.upstreams {
+		u.registerAgain()
+	}
+}
+
 // breach records a violated invariant.
 func (cl *cluster) breach(format string, args ...any) {
 	cl.mu.Lock()
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -125,10 +125,18 @@
 	return nil
 }
 
+// lostWrites is the number of writes of each upstream that a restored store loses.
+const lostWrites = 4
+
 // restoreStore takes the store away for a moment and returns it from a copy that is
-// some time old. The operator and the upstreams then write again what the copy lacks.
+// some time old. The operator and the upstreams then write again what the copy lacks,
+// and the operator one more version.
 func restoreStore(ctx context.Context, cl *cluster, r *rand.Rand) error {
 	copied := cl.store.Copy()
+	for range lostWrites {
+		cl.registerUpstreamsAgain()
+	}
+	cl.writeConfig()
 	pause.Sleep(ctx, randomDuration(r))
 	defer cl.disturbances.begin(allEntries)()
 	cl.store.SetFault(platform.FaultReset)
@@ -137,9 +145,8 @@
 	cl.store.SetFault(platform.FaultNone)
 	pause.Sleep(ctx, randomDuration(r)/2)
 	cl.rewriteConfig()
-	for _, u := range cl.upstreams {
-		u.registerAgain()
-	}
+	cl.writeConfig()
+	cl.registerUpstreamsAgain()
 	return nil
 }
 
