Log the limits that upstreams name

Cause: no line shows that an upstream named a limit, so that the logs cannot tell an entry that was not told (hypothesis 1) from entries that each keep the limit alone (2). Change: the header is decoded in the adapter; upstreamLimited, upstreamLimitEnded and, once a minute and upstream, upstreamLimitInvalid. What an upstream says in a response is one type for requests and health checks. No decision is changed.

--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -112,34 +112,50 @@
 	}
 }
 
-// CheckHealth requests the health path and returns the load that the upstream
-// reports, and whether it reports any. A complete response proves that the upstream
-// is alive, whatever its status. The error is ErrWrongInstance if the response
-// names another instance.
-func (c *Conn) CheckHealth(ctx context.Context, host, path string) (magnolialedge.LoadReading, bool, error) {
+// Report is what an upstream says about itself in a response.
+type Report struct {
+	// Reading is the load of the upstream; it is valid if HasLoad is set.
+	Reading magnolialedge.LoadReading
+	HasLoad bool
+	// Limit is the limit that the response names; LimitErr is set instead if it names
+	// none that is valid.
+	Limit    magnolialedge.RateLimit
+	LimitErr error
+}
+
+func (c *Conn) newReport(h http.Header) Report {
+	var r Report
+	r.Reading, r.HasLoad = c.headers.ParseLoad(h.Get(c.headers.Load))
+	r.Limit, r.LimitErr = c.headers.ParseLimit(h.Values(c.headers.Limit))
+	return r
+}
+
+// CheckHealth requests the health path and returns what the upstream reports. A
+// complete response proves that the upstream is alive, whatever its status. The error
+// is ErrWrongInstance if the response names another instance.
+func (c *Conn) CheckHealth(ctx context.Context, host, path string) (Report, error) {
 	defer c.closeOnCancel(ctx)()
 	head := "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + c.headers.ExpectedInstance + ": " + c.Upstream.ID + "\r\n\r\n"
 	if _, err := io.WriteString(c.netConn, head); err != nil {
 		c.broken = true
-		return magnolialedge.LoadReading{}, false, err
+		return Report{}, err
 	}
 	resp, err := c.readHead(http.MethodGet)
 	if err != nil {
-		return magnolialedge.LoadReading{}, false, err
+		return Report{}, err
 	}
 	if _, err := c.readBody(resp, maxUnusedBodyBytes); err != nil {
-		return magnolialedge.LoadReading{}, false, err
+		return Report{}, err
 	}
 	if resp.Header.Get(c.headers.RequestID) != "" {
 		c.broken = true
-		return magnolialedge.LoadReading{}, false, errNotHealthResponse
+		return Report{}, errNotHealthResponse
 	}
 	if id := resp.Header.Get(c.headers.Instance); id != "" && id != c.Upstream.ID {
 		c.broken = true
-		return magnolialedge.LoadReading{}, false, ErrWrongInstance
+		return Report{}, ErrWrongInstance
 	}
-	reading, ok := c.headers.ParseLoad(resp.Header.Get(c.headers.Load))
-	return reading, ok, nil
+	return c.newReport(resp.Header), nil
 }
 
 // Request is a request to an upstream.
@@ -167,10 +183,7 @@
 	Stream *BodyStream
 	// Length is the body length that the response declares, or -1.
 	Length int64
-	// Reading is the load that the response reports; it is valid if HasLoad is
-	// set.
-	Reading  magnolialedge.LoadReading
-	HasLoad  bool
+	Report
 	IsSigned bool
 	// NotRun is set when the upstream states that it did not run the request.
 	NotRun bool
@@ -304,15 +317,14 @@
 }
 
 func (c *Conn) newResponse(resp *http.Response) *Response {
-	r := &Response{
+	return &Response{
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
 		Length:   resp.ContentLength,
+		Report:   c.newReport(resp.Header),
 		IsSigned: resp.Header.Get(c.headers.Signature) != "",
 		NotRun:   resp.Header.Get(c.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 	}
-	r.Reading, r.HasLoad = c.headers.ParseLoad(resp.Header.Get(c.headers.Load))
-	return r
 }
 
 // readHead reads the head of a final response and skips informational ones.
--- a/io/link/conn_test.go
+++ b/io/link/conn_test.go
@@ -22,6 +22,7 @@
 	Load:             "Load",
 	NotRun:           "Not-Run",
 	ParseLoad:        func(string) (magnolialedge.LoadReading, bool) { return magnolialedge.LoadReading{}, false },
+	ParseLimit:       func([]string) (magnolialedge.RateLimit, error) { return magnolialedge.RateLimit{}, nil },
 }
 
 // scriptedConn returns a connection to a server that reads one request, writes
@@ -156,10 +157,10 @@
 
 func TestHealthResponseFromAnotherInstanceIsRejected(t *testing.T) {
 	c := scriptedConn(t, "HTTP/1.1 200 OK\r\nInstance: v\r\nContent-Length: 0\r\n\r\n", false)
-	_, _, err := c.CheckHealth(context.Background(), "h", "/health")
+	_, err := c.CheckHealth(context.Background(), "h", "/health")
 	require.ErrorIs(t, err, ErrWrongInstance)
 	c = scriptedConn(t, "HTTP/1.1 200 OK\r\nRequest-Id: 5\r\nContent-Length: 0\r\n\r\n", false)
-	_, _, err = c.CheckHealth(context.Background(), "h", "/health")
+	_, err = c.CheckHealth(context.Background(), "h", "/health")
 	require.ErrorIs(t, err, errNotHealthResponse)
 }
 
@@ -188,7 +189,7 @@
 func TestLateCopyIsNotTakenForAHealthResponse(t *testing.T) {
 	copyOfAnswer := "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"
 	c := scriptedConn(t, copyOfAnswer, false)
-	_, _, err := c.CheckHealth(t.Context(), "h", "/health")
+	_, err := c.CheckHealth(t.Context(), "h", "/health")
 	require.ErrorIs(t, err, errNotHealthResponse)
 	require.False(t, c.isReusable())
 }
--- a/io/link/endless_test.go
+++ b/io/link/endless_test.go
@@ -82,7 +82,7 @@
 func TestEndlessHeadEndsAHealthCheck(t *testing.T) {
 	var written atomic.Int64
 	conn := endlessConn(t, "HTTP/1.1 200 OK\r\nA: ", "x", &written)
-	_, _, err := conn.CheckHealth(t.Context(), "h", "/health")
+	_, err := conn.CheckHealth(t.Context(), "h", "/health")
 	require.ErrorIs(t, err, errHeadTooLarge)
 	require.False(t, conn.isReusable())
 }
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -68,9 +68,13 @@
 	return attemptResult{response: resp, sent: true, notRun: resp.NotRun, invalid: resp.IsInvalid()}
 }
 
-// recordLoad records the upstream load that the response reports.
+// recordLoad records the load and the limit that the response reports.
 func (x *exchange) recordLoad(p *placement, r attemptResult) {
-	if r.response == nil || !r.response.HasLoad {
+	if r.response == nil {
+		return
+	}
+	x.f.recordLimit(p.Registration, r.response.Report)
+	if !r.response.HasLoad {
 		return
 	}
 	x.f.mu.Lock()
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -50,6 +50,11 @@
 	// pendingProbes holds the probes in progress by upstream ID; each channel is
 	// closed when its probe ends.
 	pendingProbes map[string]chan struct{}
+	// limits holds the limits that upstreams name, by upstream ID.
+	limits map[string]float64
+	// invalidLimitLoggedAt holds the times of the last log lines about invalid limits,
+	// by upstream ID.
+	invalidLimitLoggedAt map[string]time.Time
 }
 
 // NewForwarder returns a Forwarder without routes.
@@ -62,6 +67,9 @@
 		probeBudget:   proc.NewProbeBudget(cfg.Probes, time.Now()),
 		quarantine:    proc.NewQuarantine(),
 		pendingProbes: map[string]chan struct{}{},
+		limits:        map[string]float64{},
+
+		invalidLimitLoggedAt: map[string]time.Time{},
 	}
 }
 
@@ -91,6 +99,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fleet.Remove(id)
+	delete(f.limits, id)
+	delete(f.invalidLimitLoggedAt, id)
 	f.resizeProbeBudget()
 	f.cfg.Pool.CloseIdle(id)
 }
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -134,14 +134,15 @@
 // that it responds at all.
 func (f *Forwarder) checkHealth(ctx context.Context, c *link.Conn, healthPath string) error {
 	f.cfg.Metrics.Probes.Inc()
-	load, hasLoad, err := c.CheckHealth(ctx, c.Upstream.Address, healthPath)
+	report, err := c.CheckHealth(ctx, c.Upstream.Address, healthPath)
 	if err != nil {
 		return err
 	}
+	f.recordLimit(c.Upstream, report)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if hasLoad {
-		f.fleet.RecordLoad(time.Now(), c.Upstream.ID, load)
+	if report.HasLoad {
+		f.fleet.RecordLoad(time.Now(), c.Upstream.ID, report.Reading)
 	} else {
 		f.fleet.RecordLiveness(time.Now(), c.Upstream.ID)
 	}
--- a/route.go
+++ b/route.go
@@ -127,6 +127,14 @@
 	Slowdown float64
 }
 
+// RateLimit is what a response says about the limit on the requests that an upstream
+// takes from all entries together.
+type RateLimit struct {
+	// IsSet is true if the response names a limit.
+	IsSet     bool
+	PerSecond float64
+}
+
 // DiscoveryUpdate is the decoded content of one item of the platform's store.
 type DiscoveryUpdate struct {
 	// Routing is a version of the routes.
@@ -172,6 +180,11 @@
 	// ParseLoad parses the value of the Load header. It returns false if the
 	// value is invalid.
 	ParseLoad func(string) (LoadReading, bool)
+	// Limit carries a RateLimit, in all responses while the limit applies.
+	Limit string
+	// ParseLimit parses the values of the Limit header. It returns an error if they
+	// do not name one valid limit.
+	ParseLimit func([]string) (RateLimit, error)
 }
 
 // ResolveQuery is a caller's query for the addresses of a host.
