Share the limit that an upstream names among the entries that callers use

Cause: nothing read the limit. The class: a bound on a sum over all entries that each entry knows nothing of. Ruled out: entries that each keep the limit alone, since the rate did not change at any of them; attempts that pass a limit, since the excess were first attempts. Change: the entries to which the callers of the upstream's place are steered hold the limit in equal shares, at least half a request a second each; all others leave the upstream out. All of them compute the same holders from the list of live entries, without a message. A share starts empty, shrinks at once and grows after 2 s, so that entries that learn of a change at different times do not both use it; an entry that has just started takes none. Requests, second attempts and retries count; load probes and health checks are not sent. Two responses in a row that name no limit end it. Holders tell the others when a limit begins and ends; who missed it sends one request after a long time. What exceeds the limits waits by priority if it can be served in time and is refused at once otherwise, with the expected time; the line of a refusal names it. Why this works: the sum of the shares is the limit at any time at which the entries agree, and the delay covers the time in which they do not. Weighed: limit / entries at each entry (a request each 12 s at 14 entries and 1.2 a second, most of it at entries that no caller uses); a claim in the store (calls, and nothing during its outage); shares by demand, told between entries (messages for each change).

--- a/cmd/magnolialedge/explain.go
+++ b/cmd/magnolialedge/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"os"
@@ -122,8 +123,8 @@
 	if fields["usable"] == "" {
 		return ""
 	}
-	return fmt.Sprintf("rejected with %s usable upstreams, %s free slots and %s queued requests; expected a wait of %s ms and %s ms of service; the readings were %s ms old on average",
-		fields["usable"], fields["freeSlots"], fields["queued"], fields["expectedWaitMs"], fields["serviceMs"], fields["readingAgeMs"])
+	return fmt.Sprintf("rejected with %s usable upstreams, %s free slots, %s upstreams whose limit left nothing and %s queued requests; expected a wait of %s ms and %s ms of service; the readings were %s ms old on average",
+		fields["usable"], fields["freeSlots"], cmp.Or(fields["limited"], "0"), fields["queued"], fields["expectedWaitMs"], fields["serviceMs"], fields["readingAgeMs"])
 }
 
 // formatAttempt describes an attempt that the log reports as
--- a/cmd/magnolialedge/explain_test.go
+++ b/cmd/magnolialedge/explain_test.go
@@ -25,9 +25,9 @@
 }
 
 func TestReportOfRejectionContainsItsInputs(t *testing.T) {
-	lines, err := parseLog(strings.NewReader("event=3101 requestId=r1 result=overloaded usable=12 freeSlots=0 queued=4 expectedWaitMs=90 serviceMs=75 readingAgeMs=20\n"))
+	lines, err := parseLog(strings.NewReader("event=3101 requestId=r1 result=overloaded usable=12 freeSlots=0 limited=3 queued=4 expectedWaitMs=90 serviceMs=75 readingAgeMs=20\n"))
 	require.NoError(t, err)
-	require.Contains(t, requestReport("r1", lines), "rejected with 12 usable upstreams, 0 free slots and 4 queued requests; expected a wait of 90 ms")
+	require.Contains(t, requestReport("r1", lines), "rejected with 12 usable upstreams, 0 free slots, 3 upstreams whose limit left nothing and 4 queued requests; expected a wait of 90 ms")
 }
 
 func TestEmptyRequestIDIsAnError(t *testing.T) {
--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -100,6 +100,8 @@
 	Local bool
 	// NeedsConn is true if there is no unused connection to the upstream.
 	NeedsConn bool
+	// IsLimited is true if the upstream names a limit, so that it is not probed.
+	IsLimited bool
 }
 
 const (
@@ -120,6 +122,8 @@
 // probe.
 func (c Candidate) IsFresh(now time.Time) bool {
 	switch {
+	case c.IsLimited:
+		return true
 	case c.ReportsNoLoad:
 		return now.Sub(c.LastSeenAt) < maxLivenessAge
 	case c.Local:
@@ -134,6 +138,7 @@
 func (f *Fleet) Candidates(now time.Time, req Request, limit int) ([]Candidate, bool) {
 	best := make([]estimate, 0, limit+1)
 	hasUsable := false
+	f.updateShares(now, req.Service)
 	s := f.newSelection(now, req)
 	for _, u := range f.byService[req.Service] {
 		if !u.isUsable(now) || slices.Contains(req.Tried, u.ID) {
@@ -143,6 +148,9 @@
 			continue
 		}
 		hasUsable = true
+		if !u.isWithinQuota(now) {
+			continue
+		}
 		load := u.load(now)
 		if !u.hasFreeSlot(load, s.contention) || (s.hasLocal && u.distance == otherRegion && !u.isIdleFor(load)) {
 			continue
@@ -309,6 +317,7 @@
 		Local:         e.upstream.distance != otherRegion,
 		TakesLastSlot: e.takesLastSlot,
 		NeedsConn:     e.needsConn,
+		IsLimited:     e.upstream.quota != nil,
 		Cost:          time.Duration(e.costNanos),
 	}
 }
--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -25,7 +25,10 @@
 	// Conns reports the unused connections. If it is nil, a connection to every
 	// upstream is assumed.
 	Conns magnolialedge.IdleConns
-	Seed  uint64
+	// Quotas divides the limits that upstreams name among the entries. If it is nil,
+	// this entry may use them whole.
+	Quotas magnolialedge.QuotaSharer
+	Seed   uint64
 }
 
 // Fleet tracks the state of all registered upstreams as one entry sees it:
@@ -140,6 +143,9 @@
 		return
 	}
 	u.inFlight++
+	if u.quota != nil {
+		u.quota.Take(now)
+	}
 	if u.isNewcomer {
 		u.isNewcomer = false
 		f.newcomerAdmittedAt[u.Service] = now
@@ -184,11 +190,12 @@
 
 // StaleUpstreams returns at most limit usable upstreams of a service in the
 // entry's region, in random order, that report their load and whose last load
-// reading is older than maxReadingAge.
+// reading is older than maxReadingAge. Those that name a limit are left out, because
+// a probe is a request too.
 func (f *Fleet) StaleUpstreams(now time.Time, service string, limit int) []magnolialedge.Registration {
 	var out []magnolialedge.Registration
 	for _, u := range f.byService[service] {
-		if u.distance != otherRegion && u.isUsable(now) && !u.reportsNoLoad && now.Sub(u.loadReadAt) > maxReadingAge {
+		if u.distance != otherRegion && u.isUsable(now) && u.quota == nil && !u.reportsNoLoad && now.Sub(u.loadReadAt) > maxReadingAge {
 			out = append(out, u.Registration)
 		}
 	}
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -89,7 +89,7 @@
 	var promised []*upstream
 	defer func() {
 		for _, u := range promised {
-			u.inFlight--
+			u.release()
 		}
 	}()
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
@@ -104,7 +104,7 @@
 			return false
 		}
 		u := f.byID[found[0].ID]
-		u.inFlight++
+		u.reserve()
 		promised = append(promised, u)
 		w.Wake(WakeForCapacity)
 		return true
@@ -162,19 +162,22 @@
 // service time. ahead is the number of requests that are served first. Without
 // usable upstreams, the wait is the time to the deadline.
 func (f *Fleet) expectedWait(now time.Time, req Request, ahead int) (wait, serviceTime time.Duration) {
-	slots := 0.0
+	requestsPerNano := 0.0
 	contention := f.contentionOf(req.Service)
 	for _, u := range f.byService[req.Service] {
 		if !u.isUsable(now) || u.health.StateAt(now) == proc.Probation {
 			continue
 		}
-		slots += float64(u.effectiveSlots(contention)) / u.slowdownAt(now)
+		rate := float64(u.effectiveSlots(contention)) / u.slowdownAt(now) / f.ServiceTimeNanos(req)
+		if u.quota != nil {
+			rate = min(rate, u.quota.Rate()/float64(time.Second))
+		}
+		requestsPerNano += rate
 	}
-	if slots == 0 {
+	if requestsPerNano == 0 {
 		return req.Deadline.Sub(now), 0
 	}
-	perRequest := f.ServiceTimeNanos(req) / slots
-	return time.Duration(perRequest * float64(ahead+1)), time.Duration(f.ServiceTimeNanos(req))
+	return time.Duration(float64(ahead+1) / requestsPerNano), time.Duration(f.ServiceTimeNanos(req))
 }
 
 // Shortage describes the capacity of a service at the time of a rejection.
@@ -183,6 +186,9 @@
 	// FreeSlots the number of their free slots.
 	Usable    int
 	FreeSlots int
+	// Limited is the number of upstreams that name a limit in which this entry has no
+	// share, or has used it up.
+	Limited int
 	// ExpectedWait is the expected time until the request gets a slot, and
 	// ServiceTime the time that it then takes.
 	ExpectedWait time.Duration
@@ -199,10 +205,17 @@
 	contention := f.contentionOf(req.Service)
 	age, readings := time.Duration(0), 0
 	for _, u := range f.byService[req.Service] {
+		isWithinQuota := u.isWithinQuota(now)
+		if !isWithinQuota {
+			s.Limited++
+		}
 		if !u.isUsable(now) {
 			continue
 		}
 		s.Usable++
+		if !isWithinQuota {
+			continue
+		}
 		s.FreeSlots += max(0, u.effectiveSlots(contention)-int(u.load(now)+0.5))
 		if !u.loadReadAt.IsZero() {
 			age += now.Sub(u.loadReadAt)
--- a/core/pick/reserve.go
+++ b/core/pick/reserve.go
@@ -17,7 +17,7 @@
 	}
 	total, free := 0.0, 0.0
 	for _, u := range f.byService[req.Service] {
-		if u.distance == otherRegion || !u.isUsable(now) || isTooSlowForTarget(req, s.serviceTimeNanos*u.slowdownAt(now)) {
+		if u.distance == otherRegion || !u.isUsable(now) || !u.isWithinQuota(now) || isTooSlowForTarget(req, s.serviceTimeNanos*u.slowdownAt(now)) {
 			continue
 		}
 		slots := float64(u.effectiveSlots(s.contention))
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -55,6 +55,7 @@
 		return c.NoContent(http.StatusNoContent)
 	})
 	e.POST(endReportPath, n.handleEndReport)
+	e.POST(limitReportPath, n.handleLimitReport)
 	e.POST(memberPath, func(c echo.Context) error {
 		var in magnolialedge.Instance
 		if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxPeerMessageBytes)).Decode(&in); err != nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -51,6 +51,7 @@
 	registry  *prometheus.Registry
 
 	members      *members
+	quotas       *quotaSharer
 	follower     *mirror.Follower
 	pool         *link.Pool
 	forwarder    *serve.Forwarder
@@ -99,6 +100,8 @@
 	n := &Node{cfg: cfg, settings: s, start: time.Now(), registry: prometheus.NewRegistry()}
 	n.logWriter = event.NewAsyncWriter(cfg.LogWriter)
 	n.log = event.NewLogger(n.logWriter, s.Name)
+	n.members = newMembers(n.self())
+	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
 	n.pool = link.NewPool(link.PoolConfig{Dialer: dialer, Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
@@ -107,6 +110,7 @@
 			Regions:       s.Regions,
 			TransferCosts: pick.TransferCosts{CrossZonePerKB: crossZonePerKB, CrossRegionPerKB: crossRegionPerKB},
 			Conns:         n.pool,
+			Quotas:        n.quotas,
 			Seed:          uint64(n.start.UnixNano()),
 		}),
 		Pool:        n.pool,
@@ -116,6 +120,7 @@
 		Retries:     proc.RetryLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra},
 		Probes:      proc.ProbeLimits{PerUpstreamPerSecond: s.MaxProbesPerSec},
 		ReportCrash: n.broadcastCrash,
+		ReportLimit: n.reportLimit,
 	})
 	n.callerServer = front.NewServer(front.Config{
 		Handler:            n.forwarder,
@@ -129,7 +134,6 @@
 	n.registry.MustRegister(calls)
 	n.store = cfg.NewStore(s.StoreAddress, conn.NewDialer(conn.DialerConfig{Timeout: storeDialTimeout}).Transport(""), func(call string) { calls.WithLabelValues(call).Inc() })
 	n.peerClient = &http.Client{Transport: dialer.Transport("")}
-	n.members = newMembers(n.self())
 	n.follower = mirror.NewFollower(mirror.Config{
 		Store:            n.store,
 		OnChange:         n.applyChanges,
@@ -152,7 +156,7 @@
 		OnSourceLost:     n.sourceLost,
 		Log:              n.log,
 	})
-	n.registerStoreMetrics()
+	n.registerGauges()
 	return n, nil
 }
 
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -36,7 +36,7 @@
 	resp, sent, err := p.conn.RoundTrip(ctx, x.upstreamRequest())
 	elapsed := time.Since(start)
 	r := x.classify(resp, sent, err)
-	x.recordLoad(p, r)
+	x.recordReport(p, start, r)
 	if r.response != nil && r.response.Stream != nil {
 		r.summary = x.summarize(p, "answered", elapsed)
 		r.stream = &responseStream{BodyStream: r.response.Stream, x: x, p: p, duration: elapsed}
@@ -68,12 +68,13 @@
 	return attemptResult{response: resp, sent: true, notRun: resp.NotRun, invalid: resp.IsInvalid()}
 }
 
-// recordLoad records the load and the limit that the response reports.
-func (x *exchange) recordLoad(p *placement, r attemptResult) {
+// recordReport records the load and the limit that the response to a request sent at
+// sentAt reports.
+func (x *exchange) recordReport(p *placement, sentAt time.Time, r attemptResult) {
 	if r.response == nil {
 		return
 	}
-	x.f.recordLimit(p.Registration, r.response.Report)
+	x.f.recordLimit(p.Registration, sentAt, r.response.Report)
 	if !r.response.HasLoad {
 		return
 	}
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -29,6 +29,9 @@
 	Probes proc.ProbeLimits
 	// ReportCrash notifies the other entries that a request crashed upstreams.
 	ReportCrash func(fingerprint uint64, losses int)
+	// ReportLimit notifies the other entries that an upstream begins or ceases to name
+	// a limit.
+	ReportLimit func(magnolialedge.Registration, magnolialedge.RateLimit)
 }
 
 // Forwarder proxies the requests of callers to upstreams. It implements
@@ -50,8 +53,6 @@
 	// pendingProbes holds the probes in progress by upstream ID; each channel is
 	// closed when its probe ends.
 	pendingProbes map[string]chan struct{}
-	// limits holds the limits that upstreams name, by upstream ID.
-	limits map[string]float64
 	// invalidLimitLoggedAt holds the times of the last log lines about invalid limits,
 	// by upstream ID.
 	invalidLimitLoggedAt map[string]time.Time
@@ -67,7 +68,6 @@
 		probeBudget:   proc.NewProbeBudget(cfg.Probes, time.Now()),
 		quarantine:    proc.NewQuarantine(),
 		pendingProbes: map[string]chan struct{}{},
-		limits:        map[string]float64{},
 
 		invalidLimitLoggedAt: map[string]time.Time{},
 	}
@@ -99,7 +99,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fleet.Remove(id)
-	delete(f.limits, id)
 	delete(f.invalidLimitLoggedAt, id)
 	f.resizeProbeBudget()
 	f.cfg.Pool.CloseIdle(id)
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -134,11 +134,12 @@
 // that it responds at all.
 func (f *Forwarder) checkHealth(ctx context.Context, c *link.Conn, healthPath string) error {
 	f.cfg.Metrics.Probes.Inc()
+	sentAt := time.Now()
 	report, err := c.CheckHealth(ctx, c.Upstream.Address, healthPath)
 	if err != nil {
 		return err
 	}
-	f.recordLimit(c.Upstream, report)
+	f.recordLimit(c.Upstream, sentAt, report)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if report.HasLoad {
@@ -182,7 +183,8 @@
 
 // verifyConn reports whether an unused connection can carry a request: it was used
 // recently, or a health check on it succeeds. For an idempotent request to an
-// upstream that reports no load, the check is skipped. A connection that fails the
+// upstream that reports no load, the check is skipped. An upstream that names a limit
+// gets no check, which would count towards it. A connection that fails the
 // check is closed, with the upstream's other unused ones if it reports load.
 func (f *Forwarder) verifyConn(ctx context.Context, c *link.Conn, candidate pick.Candidate, nonIdempotent bool, healthPath string) bool {
 	maxAge := maxUnverifiedAge
@@ -192,6 +194,10 @@
 	if time.Since(c.LastResponseAt()) < maxAge {
 		return true
 	}
+	if candidate.IsLimited {
+		c.Close()
+		return false
+	}
 	timeout := probeTimeout
 	if candidate.ReportsNoLoad {
 		if !nonIdempotent {
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -51,6 +51,7 @@
 	return []any{
 		"usable", s.Usable,
 		"freeSlots", s.FreeSlots,
+		"limited", s.Limited,
 		"queued", x.queued,
 		"expectedWaitMs", s.ExpectedWait.Milliseconds(),
 		"serviceMs", s.ServiceTime.Milliseconds(),
--- a/picker.go
+++ b/picker.go
@@ -55,6 +55,22 @@
 	HasIdle(now time.Time, upstreamID string) bool
 }
 
+// QuotaShare is the part of an upstream's limit that one entry may use.
+type QuotaShare struct {
+	// Fraction of the limit; 0 for an entry without a share.
+	Fraction float64
+	// ExploreInterval is how long an entry without a share hears nothing of the limit
+	// before it may send a request to learn whether the limit still applies.
+	ExploreInterval time.Duration
+}
+
+// QuotaSharer divides the limits that upstreams name among the entries.
+type QuotaSharer interface {
+	// QuotaShare returns this entry's share in the limit of an upstream, in requests
+	// per second.
+	QuotaShare(now time.Time, r Registration, limit float64) QuotaShare
+}
+
 // LoadReport is the load that an upstream reports. It is outdated on arrival
 // and may be wrong.
 type LoadReport struct {
