--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -21,6 +21,13 @@
 	// responseGrace is how long after a request's timeout its response may arrive.
 	responseGrace = 300 * time.Millisecond
 
+	// From limitGrace after an upstream began to name a limit, the entries may send it
+	// limitSlack times what that allows, plus limitExtra, in any limitWindow.
+	limitGrace  = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitSlack  = 1.5
+	limitExtra  = 5
+
 	// Entries may send retryRatio retries per request, plus retryExtra. Both are
 	// set in the entries' settings and checked in windows of retryWindow.
 	retryRatio  = 0.2
@@ -116,10 +123,7 @@
 // checkDrains records a breach for each request that an undisturbed entry sent to a
 // draining upstream more than maxDrainDelay after the start of the drain.
 func (cl *cluster) checkDrains(all []outcome, d deliveries) {
-	entries := map[string]string{}
-	for _, o := range all {
-		entries[o.request.ID] = o.entry
-	}
+	entries := entriesByRequest(all)
 	for id, list := range d {
 		for _, x := range list {
 			for _, s := range x.upstream.drainSpans() {
@@ -132,6 +136,44 @@
 	}
 }
 
+// checkLimits records a breach for each time in which undisturbed entries together sent
+// an upstream more requests than the limit that it named allows.
+func (cl *cluster) checkLimits(all []outcome) {
+	entries := entriesByRequest(all)
+	for _, u := range cl.upstreams {
+		arrivals := u.arrivals()
+		for _, s := range u.limitSpans() {
+			var times []time.Time
+			for _, a := range arrivals {
+				inSpan := a.At.After(s.from.Add(limitGrace)) && a.At.Before(s.to)
+				if inSpan && cl.disturbances.isUndisturbed(entries[a.ID], s.from.Add(-settleTime), a.At) {
+					times = append(times, a.At)
+				}
+			}
+			cl.checkLimit(u, s, times)
+		}
+	}
+}
+
+func (cl *cluster) checkLimit(u *upstream, s limitSpan, times []time.Time) {
+	allowed := limitSlack*s.perSecond*limitWindow.Seconds() + limitExtra
+	for _, from := range times {
+		if n := countWithin(times, from, limitWindow); float64(n) > allowed {
+			cl.breach("%s got %d requests in %s from %s with a limit of %.2f a second", u.id, n, limitWindow, from.Format(time.StampMilli), s.perSecond)
+			return
+		}
+	}
+}
+
+// entriesByRequest returns the entry to which each request was sent, by request ID.
+func entriesByRequest(all []outcome) map[string]string {
+	out := map[string]string{}
+	for _, o := range all {
+		out[o.request.ID] = o.entry
+	}
+	return out
+}
+
 // checkRetries records a breach for the first window with more retries than the
 // retry budget allows. A retry is an arrival of a request at an upstream after its first. The
 // budget follows from the requests in the same window or the one before,
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -95,6 +95,19 @@
 	}
 }
 
+func TestRequestsBeyondLimitAreBreach(t *testing.T) {
+	for n, breaches := range map[int]int{11: 0, 12: 1} {
+		cl := emptyCluster()
+		u := &upstream{id: "u"}
+		var times []time.Time
+		for i := range n {
+			times = append(times, at(10+float64(i)/4))
+		}
+		cl.checkLimit(u, limitSpan{timeSpan: timeSpan{from: at(5), to: at(20)}, perSecond: 1}, times)
+		require.Len(t, cl.breaches, breaches)
+	}
+}
+
 func TestRetriesBeyondBudgetAreBreach(t *testing.T) {
 	for retries, breaches := range map[int]int{retryExtra: 0, retryExtra + 1: 1} {
 		cl := emptyCluster()
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -33,6 +33,7 @@
 	{"restart an upstream", restartUpstream},
 	{"drain an upstream", drainUpstream},
 	{"change the configuration several times", changeConfig},
+	{"limit an upstream", limitUpstream},
 }
 
 // randomDuration returns a random duration for a fault, from 0.2 to 2.5 seconds.
@@ -198,6 +199,19 @@
 	return nil
 }
 
+// limitUpstream makes an upstream name a limit of 0.5 to 8 requests a second.
+func limitUpstream(ctx context.Context, cl *cluster, r *rand.Rand) error {
+	u, release, ok := reserve(cl, r, cl.upstreams)
+	if !ok {
+		return nil
+	}
+	defer release()
+	endLimit := u.startLimit(0.5 + 7.5*r.Float64())
+	pause.Sleep(ctx, limitGrace+2*limitWindow)
+	endLimit()
+	return nil
+}
+
 // changeConfig writes up to five versions of the configuration.
 func changeConfig(ctx context.Context, cl *cluster, r *rand.Rand) error {
 	for range 1 + r.IntN(5) {
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -152,6 +152,7 @@
 	cl.checkOutcomes(all, d)
 	cl.checkDrains(all, d)
 	cl.checkRetries(all, d)
+	cl.checkLimits(all)
 	result := Result{Requests: len(all), Breaches: cl.breaches}
 	for _, o := range all {
 		switch {
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -36,6 +37,14 @@
 	incarnations []*platform.Upstream
 	// drains holds the completed drains.
 	drains []timeSpan
+	// limits holds the completed times with a limit.
+	limits []limitSpan
+}
+
+// limitSpan is a time during which an upstream named a limit.
+type limitSpan struct {
+	timeSpan
+	perSecond float64
 }
 
 func newUpstream(store *platform.Store, i int, zone string) (*upstream, error) {
@@ -108,6 +117,24 @@
 	}
 }
 
+// startLimit makes all responses name a limit. The returned function ends it.
+func (u *upstream) startLimit(perSecond float64) (end func()) {
+	start := time.Now()
+	u.latest().SetLimit(strconv.FormatFloat(perSecond, 'f', 2, 64))
+	return func() {
+		u.latest().SetLimit("")
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.limits = append(u.limits, limitSpan{timeSpan: timeSpan{from: start, to: time.Now()}, perSecond: perSecond})
+	}
+}
+
+func (u *upstream) limitSpans() []limitSpan {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.limits
+}
+
 // arrivals returns the requests that all incarnations received.
 func (u *upstream) arrivals() []platform.Arrival {
 	u.mu.Lock()
