Use no connections of an earlier run of an upstream

Cause: unused connections are kept by the id of an upstream. When an upstream starts again under its id, they still lead to the earlier run; if that one still responds, requests go on to it and the new run gets none. Ruled out: the registration (applied), the selection (the upstream was picked). Change: a connection is used only for the run that it was opened for; others are closed.

--- a/io/link/conn_test.go
+++ b/io/link/conn_test.go
@@ -151,10 +151,39 @@
 	p := NewPool(PoolConfig{Headers: testHeaders})
 	p.Put(c)
 	time.Sleep(20 * time.Millisecond)
-	_, ok := p.Get("u")
+	_, ok := p.Get(c.Upstream)
 	require.False(t, ok)
 }
 
+// Guards against requests over a connection to an earlier run of an upstream, which may
+// still respond under the ID of the present one.
+func TestPoolKeepsNoConnectionsOfAnEarlierRun(t *testing.T) {
+	for _, change := range []func(*magnolialedge.Registration){
+		func(r *magnolialedge.Registration) { r.Address = "127.0.0.1:2" },
+		func(r *magnolialedge.Registration) { r.StartedAtUnixMs++ },
+	} {
+		c := scriptedConn(t, ownResponse, false)
+		_, _, err := roundTrip(c, getRequest())
+		require.NoError(t, err)
+		p := NewPool(PoolConfig{Headers: testHeaders})
+		p.Put(c)
+		next := c.Upstream
+		change(&next)
+		_, ok := p.Get(next)
+		require.False(t, ok)
+		require.False(t, c.isReusable())
+	}
+	c := scriptedConn(t, ownResponse, false)
+	_, _, err := roundTrip(c, getRequest())
+	require.NoError(t, err)
+	p := NewPool(PoolConfig{Headers: testHeaders})
+	p.Put(c)
+	draining := c.Upstream
+	draining.Draining = true
+	_, ok := p.Get(draining)
+	require.True(t, ok)
+}
+
 func TestHealthResponseFromAnotherInstanceIsRejected(t *testing.T) {
 	c := scriptedConn(t, "HTTP/1.1 200 OK\r\nInstance: v\r\nContent-Length: 0\r\n\r\n", false)
 	_, err := c.CheckHealth(context.Background(), "h", "/health")
@@ -180,7 +209,7 @@
 	require.True(t, resp.NotRun)
 	p := NewPool(PoolConfig{Headers: testHeaders})
 	p.Put(c)
-	_, ok := p.Get("u")
+	_, ok := p.Get(c.Upstream)
 	require.False(t, ok)
 }
 
--- a/io/link/endless_test.go
+++ b/io/link/endless_test.go
@@ -125,7 +125,7 @@
 	require.Eventually(t, func() bool { return !conn.isReusable() || !conn.IsIdle() }, time.Second, time.Millisecond)
 	pool := NewPool(PoolConfig{})
 	pool.Put(conn)
-	_, ok := pool.Get("u")
+	_, ok := pool.Get(conn.Upstream)
 	require.False(t, ok)
 }
 
--- a/io/link/pool.go
+++ b/io/link/pool.go
@@ -79,17 +79,19 @@
 	}
 }
 
-// Get returns an unused connection to an upstream, or false if there is none.
-func (p *Pool) Get(id string) (*Conn, bool) {
+// Get returns an unused connection to the run of an upstream that registered as r, or
+// false if there is none. Connections to an earlier run are closed: that run may still
+// respond under the same ID.
+func (p *Pool) Get(r magnolialedge.Registration) (*Conn, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	conns := p.idle[id]
+	conns := p.idle[r.ID]
 	for len(conns) > 0 {
 		c := conns[len(conns)-1]
 		conns = conns[:len(conns)-1]
-		p.idle[id] = conns
-		if now.Before(c.idleDeadline) && c.IsIdle() {
+		p.idle[r.ID] = conns
+		if c.Upstream.IsSameRun(r) && now.Before(c.idleDeadline) && c.IsIdle() {
 			return c, true
 		}
 		c.Close()
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -97,7 +97,7 @@
 func (f *Forwarder) probeUpstream(r magnolialedge.Registration, roundTrip time.Duration, healthPath string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout+2*roundTrip)
 	defer cancel()
-	if c, ok := f.cfg.Pool.Get(r.ID); ok {
+	if c, ok := f.cfg.Pool.Get(r); ok {
 		err := f.checkHealth(ctx, c, healthPath)
 		f.cfg.Pool.Put(c)
 		if err == nil {
@@ -171,7 +171,7 @@
 // connect returns a connection for a request: a pooled one that passes
 // verifyConn, or a new one.
 func (f *Forwarder) connect(ctx context.Context, candidate pick.Candidate, nonIdempotent bool, healthPath string) (*link.Conn, error) {
-	if c, ok := f.cfg.Pool.Get(candidate.ID); ok {
+	if c, ok := f.cfg.Pool.Get(candidate.Registration); ok {
 		if f.verifyConn(ctx, c, candidate, nonIdempotent, healthPath) {
 			return c, nil
 		}
--- a/route.go
+++ b/route.go
@@ -117,6 +117,11 @@
 	StartedAtUnixMs int64
 }
 
+// IsSameRun reports whether two registrations are of the same run of an upstream.
+func (r Registration) IsSameRun(o Registration) bool {
+	return r.ID == o.ID && r.Address == o.Address && r.StartedAtUnixMs == o.StartedAtUnixMs
+}
+
 // LoadReading is the load that an upstream reports at one moment.
 type LoadReading struct {
 	Running int
