Heed what upstreams say in responses: that they leave, and when to come back

Nothing read that an upstream is leaving, nor the Retry-After of its 503: requests went on until the store reported the drain, and at once after a refusal. Change: the notice of a run of an upstream stands apart from its registration and outlives it. No request, retry, second attempt or probe goes to a leaving or paused upstream; after a pause one request at a time until one is executed; refusals name the shortest time if all are paused. Ruled out: clearing the mark of a pause with any success. Only one sent after the pause counts now.

--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		hasUsable = true
-		if !u.isWithinQuota(now) {
+		if !u.isWithinQuota(now) || (u.isReturning && u.inFlight > 0) {
 			continue
 		}
 		load := u.load(now)
--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -49,7 +49,9 @@
 	// newcomerAdmittedAt is the time of the last request to a newcomer, by
 	// service.
 	newcomerAdmittedAt map[string]time.Time
-	rand               *rand.Rand
+	// formerNotices holds the notices of removed upstreams, by ID.
+	formerNotices map[string]formerNotice
+	rand          *rand.Rand
 }
 
 // NewFleet returns a Fleet without upstreams.
@@ -62,6 +64,7 @@
 		contention:   map[string]float64{},
 
 		newcomerAdmittedAt: map[string]time.Time{},
+		formerNotices:      map[string]formerNotice{},
 		rand:               rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x5bd1e995)),
 	}
 }
@@ -79,11 +82,12 @@
 		u.register(now, r)
 		return
 	}
-	f.Remove(r.ID)
+	f.Remove(now, r.ID)
 	if f.startedAt.IsZero() {
 		f.startedAt = now
 	}
 	u = newUpstream(now, r, f.distanceTo(r.Zone))
+	f.restoreNotice(u)
 	u.isNewcomer = now.Sub(f.startedAt) > initialListingTime
 	f.byID[r.ID] = u
 	f.byService[r.Service] = append(f.byService[r.Service], u)
@@ -95,11 +99,12 @@
 const initialListingTime = 3 * time.Second
 
 // Remove removes an upstream.
-func (f *Fleet) Remove(id string) {
+func (f *Fleet) Remove(now time.Time, id string) {
 	u, ok := f.byID[id]
 	if !ok {
 		return
 	}
+	f.keepNotice(now, u)
 	delete(f.byID, id)
 	f.byService[u.Service] = slices.DeleteFunc(f.byService[u.Service], func(x *upstream) bool { return x == u })
 }
@@ -195,7 +200,7 @@
 func (f *Fleet) StaleUpstreams(now time.Time, service string, limit int) []magnolialedge.Registration {
 	var out []magnolialedge.Registration
 	for _, u := range f.byService[service] {
-		if u.distance != otherRegion && u.isUsable(now) && u.quota == nil && !u.reportsNoLoad && now.Sub(u.loadReadAt) > maxReadingAge {
+		if u.distance != otherRegion && u.isUsable(now) && f.MayProbe(now, u.ID) && !u.reportsNoLoad && now.Sub(u.loadReadAt) > maxReadingAge {
 			out = append(out, u.Registration)
 		}
 	}
--- a/core/pick/fleet_test.go
+++ b/core/pick/fleet_test.go
@@ -148,7 +148,7 @@
 	f.Register(at(10), r)
 	_, hasUsable := f.Candidates(at(10), testRequest(at(10)), 1)
 	require.False(t, hasUsable)
-	f.Remove("a")
+	f.Remove(at(0), "a")
 	require.Zero(t, f.UpstreamCount("reads"))
 }
 
@@ -202,7 +202,7 @@
 	found, hasUsable := f.Candidates(at(0), upload, 3)
 	require.True(t, hasUsable)
 	require.Empty(t, found)
-	f.Remove("here")
+	f.Remove(at(0), "here")
 	found, _ = f.Candidates(at(0), upload, 3)
 	require.Equal(t, []string{"far"}, ids(found))
 }
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -228,9 +228,17 @@
 	return s
 }
 
+func (f *Fleet) hasUsable(now time.Time, service string) bool {
+	return slices.ContainsFunc(f.byService[service], func(u *upstream) bool { return u.isUsable(now) })
+}
+
 // RetryAfter returns the time after which a rejected request is likely to find
-// a free slot. waiting is the number of queued requests.
+// a free slot. waiting is the number of queued requests. If all upstreams want no
+// requests for some time, it is the shortest of these times.
 func (f *Fleet) RetryAfter(now time.Time, req Request, waiting int) time.Duration {
+	if wait, ok := f.earliestReturn(now, req.Service); ok && !f.hasUsable(now, req.Service) {
+		return max(wait, minRetryAfter)
+	}
 	wait, serviceTime := f.expectedWait(now, req, waiting)
 	return min(max(wait+serviceTime/2, minRetryAfter), maxRetryAfter)
 }
--- a/core/pick/quota.go
+++ b/core/pick/quota.go
@@ -40,12 +40,12 @@
 	LimitEnded
 )
 
-// RecordLimit records what the response to a request sent at sentAt says about the
-// limit of an upstream.
-func (f *Fleet) RecordLimit(now time.Time, id string, sentAt time.Time, limit magnolialedge.RateLimit) LimitChange {
-	u, ok := f.byID[id]
+// RecordLimit records what the response of a run of an upstream to a request sent at
+// sentAt says about its limit.
+func (f *Fleet) RecordLimit(now time.Time, r magnolialedge.Registration, sentAt time.Time, limit magnolialedge.RateLimit) LimitChange {
+	u := f.runOf(r)
 	switch {
-	case !ok:
+	case u == nil:
 		return LimitUnchanged
 	case limit.IsSet:
 		return f.confirmLimit(now, u, limit.PerSecond)
--- a/core/pick/quota_test.go
+++ b/core/pick/quota_test.go
@@ -28,7 +28,7 @@
 	f := NewFleet(cfg)
 	for _, id := range names {
 		f.Register(at(0), registration(id, "east-a", 4))
-		f.RecordLimit(at(0), id, at(0), named(2))
+		f.RecordLimit(at(0), registration(id, "east-a", 4), at(0), named(2))
 	}
 	return f
 }
@@ -64,7 +64,7 @@
 	require.True(t, q.push(at(0), f, "third", testRequest(at(0))))
 	require.False(t, q.push(at(0), f, "late", testRequest(at(0))), "four a second, and the others come first")
 	require.GreaterOrEqual(t, f.RetryAfter(at(0), testRequest(at(0)), 3), time.Second)
-	f.RecordLimit(at(0), "a", at(0), named(8))
+	f.RecordLimit(at(0), registration("a", "east-a", 4), at(0), named(8))
 	q.Dispatch(at(130), f)
 	require.Equal(t, []string{"urgent"}, q.order, "one request is due at one of them")
 }
@@ -102,12 +102,12 @@
 	none := magnolialedge.RateLimit{}
 	f := newLimitedFleet(1, "limited")
 	f.Register(at(0), registration("free", "east-a", 4))
-	require.Equal(t, LimitUnchanged, f.RecordLimit(at(100), "free", at(50), none))
-	require.Equal(t, LimitUnchanged, f.RecordLimit(at(100), "limited", at(-50), none), "sent before the limit was known")
-	require.Equal(t, LimitUnchanged, f.RecordLimit(at(200), "limited", at(150), none))
-	require.Equal(t, LimitChanged, f.RecordLimit(at(300), "limited", at(150), named(3)))
-	require.Equal(t, LimitUnchanged, f.RecordLimit(at(400), "limited", at(350), none))
-	require.Equal(t, LimitEnded, f.RecordLimit(at(500), "limited", at(350), none))
+	require.Equal(t, LimitUnchanged, f.RecordLimit(at(100), registration("free", "east-a", 4), at(50), none))
+	require.Equal(t, LimitUnchanged, f.RecordLimit(at(100), registration("limited", "east-a", 4), at(-50), none), "sent before the limit was known")
+	require.Equal(t, LimitUnchanged, f.RecordLimit(at(200), registration("limited", "east-a", 4), at(150), none))
+	require.Equal(t, LimitChanged, f.RecordLimit(at(300), registration("limited", "east-a", 4), at(150), named(3)))
+	require.Equal(t, LimitUnchanged, f.RecordLimit(at(400), registration("limited", "east-a", 4), at(350), none))
+	require.Equal(t, LimitEnded, f.RecordLimit(at(500), registration("limited", "east-a", 4), at(350), none))
 	_, isLimited := f.QuotaRate("limited")
 	require.False(t, isLimited)
 }
--- a/core/pick/random_test.go
+++ b/core/pick/random_test.go
@@ -37,7 +37,7 @@
 				id := name()
 				delete(registered, id)
 				inFlight[id] = 0
-				f.Remove(id)
+				f.Remove(now, id)
 			},
 			"read": func(t *rapid.T) {
 				f.RecordLoad(now, name(), magnolialedge.LoadReading{Running: rapid.IntRange(0, 9).Draw(t, "running"), Slowdown: rapid.Float64Range(0, 9).Draw(t, "slowdown")})
--- a/core/pick/reserve_test.go
+++ b/core/pick/reserve_test.go
@@ -68,7 +68,7 @@
 	found, hasUsable := f.Candidates(at(0), testRequest(at(0)), 1)
 	require.True(t, hasUsable)
 	require.Empty(t, found)
-	f.Remove("here")
+	f.Remove(at(0), "here")
 	found, _ = f.Candidates(at(0), testRequest(at(0)), 1)
 	require.Equal(t, []string{"far"}, ids(found), "without an upstream of its own, the region uses all slots")
 }
--- a/core/pick/result.go
+++ b/core/pick/result.go
@@ -49,6 +49,7 @@
 	case AttemptSucceeded:
 		u.recordResult(now, false)
 		u.health.RecordSuccess()
+		u.recordExecution(now.Add(-result.Duration))
 		f.recordServiceTime(now, u, result)
 	case AttemptFailed:
 		u.recordResult(now, true)
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -74,8 +74,7 @@
 	// after the initial listing. registeredAt is the time of its registration.
 	isNewcomer   bool
 	registeredAt time.Time
-	// quota is set while the upstream names a limit.
-	quota *quota
+	notice
 }
 
 // distance classifies where an upstream runs relative to the entry.
@@ -96,7 +95,7 @@
 }
 
 // register applies a registration. A new start under the same ID discards the
-// health, failure rate, backoff, load reading and limit of the previous one.
+// health, failure rate, backoff, load reading and notice of the previous one.
 func (u *upstream) register(now time.Time, r magnolialedge.Registration) {
 	if u.StartedAtUnixMs != r.StartedAtUnixMs && u.ID != "" {
 		u.health = proc.Health{}
@@ -104,7 +103,7 @@
 		u.backoff = 0
 		u.backoffUntil = time.Time{}
 		u.loadReadAt = time.Time{}
-		u.quota = nil
+		u.notice = notice{}
 		u.isNewcomer = true
 		u.registeredAt = now
 	}
@@ -260,9 +259,9 @@
 }
 
 // isUsable reports whether the upstream may receive requests: it is not
-// draining, backed off or ejected, and its limit leaves this entry a share.
+// draining, backed off or ejected, and its notice and limit permit requests.
 func (u *upstream) isUsable(now time.Time) bool {
-	return !u.Draining && !now.Before(u.backoffUntil) && u.health.StateAt(now) != proc.Ejected && u.isOpen(now)
+	return !u.Draining && u.acceptsRequests(now) && !now.Before(u.backoffUntil) && u.health.StateAt(now) != proc.Ejected && u.isOpen(now)
 }
 
 // decay returns the weight of a value of the given age under exponential decay.
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -112,24 +112,6 @@
 	}
 }
 
-// Report is what an upstream says about itself in a response.
-type Report struct {
-	// Reading is the load of the upstream; it is valid if HasLoad is set.
-	Reading magnolialedge.LoadReading
-	HasLoad bool
-	// Limit is the limit that the response names; LimitErr is set instead if it names
-	// none that is valid.
-	Limit    magnolialedge.RateLimit
-	LimitErr error
-}
-
-func (c *Conn) newReport(h http.Header) Report {
-	var r Report
-	r.Reading, r.HasLoad = c.headers.ParseLoad(h.Get(c.headers.Load))
-	r.Limit, r.LimitErr = c.headers.ParseLimit(h.Values(c.headers.Limit))
-	return r
-}
-
 // CheckHealth requests the health path and returns what the upstream reports. A
 // complete response proves that the upstream is alive, whatever its status. The error
 // is ErrWrongInstance if the response names another instance.
@@ -155,7 +137,7 @@
 		c.broken = true
 		return Report{}, ErrWrongInstance
 	}
-	return c.newReport(resp.Header), nil
+	return c.newReport(resp), nil
 }
 
 // Request is a request to an upstream.
@@ -321,7 +303,7 @@
 		Status:   resp.StatusCode,
 		Header:   resp.Header,
 		Length:   resp.ContentLength,
-		Report:   c.newReport(resp.Header),
+		Report:   c.newReport(resp),
 		IsSigned: resp.Header.Get(c.headers.Signature) != "",
 		NotRun:   resp.Header.Get(c.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest,
 	}
--- a/io/link/conn_test.go
+++ b/io/link/conn_test.go
@@ -22,6 +22,7 @@
 	Load:             "Load",
 	NotRun:           "Not-Run",
 	ParseLoad:        func(string) (magnolialedge.LoadReading, bool) { return magnolialedge.LoadReading{}, false },
+	ParseLeaving:     func([]string) (bool, error) { return false, nil },
 	ParseLimit:       func([]string) (magnolialedge.RateLimit, error) { return magnolialedge.RateLimit{}, nil },
 }
 
--- /dev/null
+++ b/io/link/report.go
@@ -0,0 +1,71 @@
+package link
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+)
+
+// Report is what an upstream says about itself in a response.
+type Report struct {
+	// Reading is the load of the upstream; it is valid if HasLoad is set.
+	Reading magnolialedge.LoadReading
+	HasLoad bool
+	// Limit is the limit that the response names; LimitErr is set instead if it names
+	// none that is valid.
+	Limit    magnolialedge.RateLimit
+	LimitErr error
+	// IsLeaving is set if the upstream is leaving.
+	IsLeaving bool
+	// RetryAfter is the time for which an upstream that is unavailable wants no request
+	// from this entry, or 0.
+	RetryAfter time.Duration
+	// NoticeErr is set if the response has an invalid header for one of the fields
+	// above, except Limit.
+	NoticeErr error
+}
+
+func (c *Conn) newReport(resp *http.Response) Report {
+	var r Report
+	r.Reading, r.HasLoad = c.headers.ParseLoad(resp.Header.Get(c.headers.Load))
+	r.Limit, r.LimitErr = c.headers.ParseLimit(resp.Header.Values(c.headers.Limit))
+	r.IsLeaving, r.NoticeErr = c.headers.ParseLeaving(resp.Header.Values(c.headers.Leaving))
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		var err error
+		r.RetryAfter, err = parseRetryAfter(resp.Header.Values("Retry-After"), time.Now())
+		r.NoticeErr = errors.CombineErrors(r.NoticeErr, err)
+	}
+	return r
+}
+
+// maxRetryAfter limits the time for which an upstream is left alone, so that a mistake
+// of the upstream does not exclude it for good.
+const maxRetryAfter = time.Hour
+
+var errInvalidRetryAfter = errors.New("the response does not name one valid time to retry")
+
+// parseRetryAfter parses the values of a Retry-After header: seconds, which may have a
+// fraction, or a date. It returns 0 if there are none, and at most maxRetryAfter.
+func parseRetryAfter(values []string, now time.Time) (time.Duration, error) {
+	if len(values) == 0 {
+		return 0, nil
+	}
+	if len(values) > 1 {
+		return 0, errors.Wrapf(errInvalidRetryAfter, "%d values", len(values))
+	}
+	value := strings.TrimSpace(values[0])
+	if at, err := http.ParseTime(value); err == nil {
+		return min(max(0, at.Sub(now)), maxRetryAfter), nil
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return 0, errors.Wrapf(errInvalidRetryAfter, "value %.40q", value)
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second)), nil
+}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -68,13 +68,12 @@
 	return attemptResult{response: resp, sent: true, notRun: resp.NotRun, invalid: resp.IsInvalid()}
 }
 
-// recordReport records the load and the limit that the response to a request sent at
-// sentAt reports.
+// recordReport records what the response to a request sent at sentAt reports.
 func (x *exchange) recordReport(p *placement, sentAt time.Time, r attemptResult) {
 	if r.response == nil {
 		return
 	}
-	x.f.recordLimit(p.Registration, sentAt, r.response.Report)
+	x.f.recordReport(p.Registration, sentAt, x.id, r.response.Report)
 	if !r.response.HasLoad {
 		return
 	}
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -53,9 +53,9 @@
 	// pendingProbes holds the probes in progress by upstream ID; each channel is
 	// closed when its probe ends.
 	pendingProbes map[string]chan struct{}
-	// invalidLimitLoggedAt holds the times of the last log lines about invalid limits,
+	// invalidNoticeLoggedAt holds the times of the last log lines about invalid headers,
 	// by upstream ID.
-	invalidLimitLoggedAt map[string]time.Time
+	invalidNoticeLoggedAt map[string]time.Time
 }
 
 // NewForwarder returns a Forwarder without routes.
@@ -69,7 +69,7 @@
 		quarantine:    proc.NewQuarantine(),
 		pendingProbes: map[string]chan struct{}{},
 
-		invalidLimitLoggedAt: map[string]time.Time{},
+		invalidNoticeLoggedAt: map[string]time.Time{},
 	}
 }
 
@@ -98,8 +98,8 @@
 func (f *Forwarder) Remove(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fleet.Remove(id)
-	delete(f.invalidLimitLoggedAt, id)
+	f.fleet.Remove(time.Now(), id)
+	delete(f.invalidNoticeLoggedAt, id)
 	f.resizeProbeBudget()
 	f.cfg.Pool.CloseIdle(id)
 }
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -103,7 +103,7 @@
 	switch {
 	case !registered || hasWaiters:
 		return nil
-	case !isSlow && (!running.Candidate.Local || running.Candidate.ReportsNoLoad || running.Candidate.IsLimited):
+	case !isSlow && (!running.Candidate.Local || running.Candidate.ReportsNoLoad):
 		return nil
 	case !isSlow:
 		f.startProbe(registration, running.Candidate.RoundTrip, x.match.Service.HealthPath)
--- a/io/serve/limit.go
+++ b/io/serve/limit.go
@@ -9,10 +9,6 @@
 	"magnolialedge/io/link"
 )
 
-// invalidLimitLogInterval is the shortest time between two log lines about invalid
-// limits of one upstream.
-const invalidLimitLogInterval = time.Minute
-
 // recordLimit applies what the response to a request sent at sentAt says about the limit
 // of an upstream. If this entry shares the limit, it tells the others when the limit
 // begins and ends, because those without a share send nothing that could tell them.
@@ -20,12 +16,12 @@
 	f.mu.Lock()
 	now := time.Now()
 	if report.LimitErr != nil {
-		f.logInvalidLimit(now, r, report.LimitErr)
+		f.logInvalidNotice(now, r, report.LimitErr)
 		f.mu.Unlock()
 		return
 	}
 	rateBefore, _ := f.fleet.QuotaRate(r.ID)
-	change := f.fleet.RecordLimit(now, r.ID, sentAt, report.Limit)
+	change := f.fleet.RecordLimit(now, r, sentAt, report.Limit)
 	rate, _ := f.fleet.QuotaRate(r.ID)
 	f.mu.Unlock()
 	f.logLimit(r, change, report.Limit, rate, "response")
@@ -62,13 +58,3 @@
 		f.cfg.Log.Log(event.UpstreamLimitEnded, "upstream", r.ID, "service", r.Service, "from", from)
 	}
 }
-
-// logInvalidLimit logs an invalid limit at most once per invalidLimitLogInterval. The
-// caller holds f.mu.
-func (f *Forwarder) logInvalidLimit(now time.Time, r magnolialedge.Registration, err error) {
-	if now.Sub(f.invalidLimitLoggedAt[r.ID]) < invalidLimitLogInterval {
-		return
-	}
-	f.invalidLimitLoggedAt[r.ID] = now
-	f.cfg.Log.Log(event.UpstreamLimitInvalid, "upstream", r.ID, "service", r.Service, "err", err)
-}
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -65,8 +65,8 @@
 }
 
 // startProbe probes an upstream's load unless a probe is already in progress. The
-// returned channel is closed when the probe ends, or at once if the probe budget
-// is exhausted.
+// returned channel is closed when the probe ends, or at once if the upstream may not be
+// probed or the probe budget is exhausted.
 func (f *Forwarder) startProbe(r magnolialedge.Registration, roundTrip time.Duration, healthPath string) <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -74,6 +74,10 @@
 		return done
 	}
 	done := make(chan struct{})
+	if !f.fleet.MayProbe(time.Now(), r.ID) {
+		close(done)
+		return done
+	}
 	if !f.probeBudget.Spend(time.Now()) {
 		f.cfg.Metrics.ProbesSkipped.Inc()
 		close(done)
@@ -139,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	f.recordLimit(c.Upstream, sentAt, report)
+	f.recordReport(c.Upstream, sentAt, "", report)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if report.HasLoad {
--- a/route.go
+++ b/route.go
@@ -190,6 +190,11 @@
 	// ParseLimit parses the values of the Limit header. It returns an error if they
 	// do not name one valid limit.
 	ParseLimit func([]string) (RateLimit, error)
+	// Leaving marks all responses of an upstream that is leaving.
+	Leaving string
+	// ParseLeaving reports whether the values of the Leaving header say that the
+	// upstream is leaving. It returns an error if they are invalid.
+	ParseLeaving func([]string) (bool, error)
 }
 
 // ResolveQuery is a caller's query for the addresses of a host.
