Play leaving and paused upstreams in the soak

Cause: the notices of upstreams were tested alone, not with other faults. Change: two faults, and a check per entry that was told.

--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -28,6 +28,11 @@
 	limitSlack  = 1.5
 	limitExtra  = 5
 
+	// From noticeDelay after a response with a notice, an entry may send the upstream
+	// maxNoticeRequests further requests until the notice ends.
+	noticeDelay       = 500 * time.Millisecond
+	maxNoticeRequests = 2
+
 	// Entries may send retryRatio retries per request, plus retryExtra. Both are
 	// set in the entries' settings and checked in windows of retryWindow.
 	retryRatio  = 0.2
@@ -165,6 +170,42 @@
 	}
 }
 
+// checkNotices records a breach for each entry that sent an upstream requests although a
+// response had told it that the upstream wants none.
+func (cl *cluster) checkNotices(all []outcome) {
+	entries := entriesByRequest(all)
+	for _, u := range cl.upstreams {
+		arrivals := u.arrivals()
+		for _, s := range u.noticeSpans() {
+			byEntry := map[string][]time.Time{}
+			for _, a := range arrivals {
+				if name := entries[a.ID]; name != "" && a.At.After(s.from) && a.At.Before(s.to) {
+					byEntry[name] = append(byEntry[name], a.At)
+				}
+			}
+			for name, times := range byEntry {
+				cl.checkNotice(u, s, name, times)
+			}
+		}
+	}
+}
+
+// checkNotice checks the requests that one entry sent during a notice, in order.
+func (cl *cluster) checkNotice(u *upstream, s noticeSpan, entry string, times []time.Time) {
+	for i, told := range times {
+		n := 0
+		for _, at := range times[i+1:] {
+			if since := at.Sub(told); since > noticeDelay && since < s.wait {
+				n++
+			}
+		}
+		if n > maxNoticeRequests && cl.disturbances.isUndisturbed(entry, told.Add(-settleTime), s.to) {
+			cl.breach("%s sent %d requests to %s, which had told it at %s to send none for %s", entry, n, u.id, told.Format(time.StampMilli), s.wait)
+			return
+		}
+	}
+}
+
 // entriesByRequest returns the entry to which each request was sent, by request ID.
 func entriesByRequest(all []outcome) map[string]string {
 	out := map[string]string{}
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -108,6 +108,21 @@
 	}
 }
 
+func TestRequestsDespiteNoticeAreBreach(t *testing.T) {
+	for _, tc := range []struct {
+		times    []time.Time
+		breaches int
+	}{
+		{[]time.Time{at(10), at(10.4), at(10.6), at(11)}, 0},
+		{[]time.Time{at(10), at(10.6), at(11), at(11.5)}, 1},
+		{[]time.Time{at(10), at(10.6), at(11), at(12.1), at(13)}, 0},
+	} {
+		cl := emptyCluster()
+		cl.checkNotice(&upstream{id: "u"}, noticeSpan{timeSpan: timeSpan{from: at(9), to: at(15)}, wait: 2 * time.Second}, "e", tc.times)
+		require.Len(t, cl.breaches, tc.breaches)
+	}
+}
+
 func TestRetriesBeyondBudgetAreBreach(t *testing.T) {
 	for retries, breaches := range map[int]int{retryExtra: 0, retryExtra + 1: 1} {
 		cl := emptyCluster()
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -34,6 +35,8 @@
 	{"drain an upstream", drainUpstream},
 	{"change the configuration several times", changeConfig},
 	{"limit an upstream", limitUpstream},
+	{"let an upstream leave", leaveUpstream},
+	{"pause an upstream", pauseUpstream},
 }
 
 // randomDuration returns a random duration for a fault, from 0.2 to 2.5 seconds.
@@ -212,6 +215,43 @@
 	return nil
 }
 
+// leaveUpstream makes an upstream say that it is leaving, although the store lists it as
+// ready, and then starts it again.
+func leaveUpstream(ctx context.Context, cl *cluster, r *rand.Rand) error {
+	u, release, ok := reserve(cl, r, cl.upstreams)
+	if !ok {
+		return nil
+	}
+	defer release()
+	u.latest().SetLeaving(true)
+	end := u.startNotice(untilEnd)
+	pause.Sleep(ctx, 2*maxDrainDelay)
+	end()
+	u.latest().Close()
+	u.start()
+	return nil
+}
+
+// pauseUpstream makes an upstream refuse all requests and want none from the entry for
+// 1 to 3 seconds.
+func pauseUpstream(ctx context.Context, cl *cluster, r *rand.Rand) error {
+	u, release, ok := reserve(cl, r, cl.upstreams)
+	if !ok {
+		return nil
+	}
+	defer release()
+	wait := time.Duration(1000+r.IntN(2000)) * time.Millisecond
+	run := u.latest()
+	run.SetRetryAfter(strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	run.SetResponseMode(platform.RejectRequest)
+	end := u.startNotice(wait)
+	pause.Sleep(ctx, 2*wait)
+	end()
+	run.SetResponseMode(platform.RespondNormally)
+	run.SetRetryAfter("")
+	return nil
+}
+
 // changeConfig writes up to five versions of the configuration.
 func changeConfig(ctx context.Context, cl *cluster, r *rand.Rand) error {
 	for range 1 + r.IntN(5) {
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -153,6 +153,7 @@
 	cl.checkDrains(all, d)
 	cl.checkRetries(all, d)
 	cl.checkLimits(all)
+	cl.checkNotices(all)
 	result := Result{Requests: len(all), Breaches: cl.breaches}
 	for _, o := range all {
 		switch {
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -39,8 +39,20 @@
 	drains []timeSpan
 	// limits holds the completed times with a limit.
 	limits []limitSpan
+	// notices holds the completed times in which it wanted no requests.
+	notices []noticeSpan
 }
 
+// noticeSpan is a time during which each response of an upstream said that it wants no
+// further request from the same entry for wait.
+type noticeSpan struct {
+	timeSpan
+	wait time.Duration
+}
+
+// untilEnd is the wait of an upstream that is leaving.
+const untilEnd = time.Hour
+
 // limitSpan is a time during which an upstream named a limit.
 type limitSpan struct {
 	timeSpan
@@ -129,6 +141,23 @@
 	}
 }
 
+// startNotice records that responses begin to say that the upstream wants no requests.
+// The returned function records the end.
+func (u *upstream) startNotice(wait time.Duration) (end func()) {
+	start := time.Now()
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.notices = append(u.notices, noticeSpan{timeSpan: timeSpan{from: start, to: time.Now()}, wait: wait})
+	}
+}
+
+func (u *upstream) noticeSpans() []noticeSpan {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.notices
+}
+
 func (u *upstream) limitSpans() []limitSpan {
 	u.mu.Lock()
 	defer u.mu.Unlock()
