Share limits among as many entries whatever the limit is

Cause: read through the change once more: the number of holders followed the limit, but an entry without a share does not learn that the limit has risen, so that the holders used a part of it. Change: the entries to which callers are steered, four at most, whatever the limit is.

--- a/core/pick/quota.go
+++ b/core/pick/quota.go
@@ -79,7 +79,7 @@
 
 func (f *Fleet) confirmLimit(now time.Time, u *upstream, limit float64) LimitChange {
 	if u.quota == nil {
-		u.quota = &quota{Quota: proc.NewQuota(now, limit, f.quotaShare(now, u, limit)), knownSince: now, sharedAt: now}
+		u.quota = &quota{Quota: proc.NewQuota(now, limit, f.quotaShare(now, u)), knownSince: now, sharedAt: now}
 		return LimitNamed
 	}
 	before := u.quota.Limit()
@@ -114,11 +114,11 @@
 
 // quotaShare returns this entry's share in a limit. Without a QuotaSharer it is the
 // only entry.
-func (f *Fleet) quotaShare(now time.Time, u *upstream, limit float64) magnolialedge.QuotaShare {
+func (f *Fleet) quotaShare(now time.Time, u *upstream) magnolialedge.QuotaShare {
 	if f.cfg.Quotas == nil {
 		return magnolialedge.QuotaShare{Fraction: 1}
 	}
-	return f.cfg.Quotas.QuotaShare(now, u.Registration, limit)
+	return f.cfg.Quotas.QuotaShare(now, u.Registration)
 }
 
 // updateShares updates this entry's shares in the limits of a service's upstreams.
@@ -126,7 +126,7 @@
 	for _, u := range f.byService[service] {
 		if u.quota != nil && now.Sub(u.quota.sharedAt) >= shareInterval {
 			u.quota.sharedAt = now
-			u.quota.SetShare(now, f.quotaShare(now, u, u.quota.Limit()))
+			u.quota.SetShare(now, f.quotaShare(now, u))
 		}
 	}
 }
--- a/core/proc/quota.go
+++ b/core/proc/quota.go
@@ -120,11 +120,8 @@
 }
 
 const (
-	// minHolderRate is the rate in requests per second from which a further entry
-	// shares a limit. A smaller share is used up by the first request and idle when
-	// the next one comes.
-	minHolderRate = 0.5
-	// maxQuotaHolders limits the entries that share a limit.
+	// maxQuotaHolders limits the entries that share a limit. Their number does not
+	// depend on the limit, because those without a share do not learn that it moves.
 	maxQuotaHolders = 4
 	// exploreInterval, for each live entry, is how long an entry without a share
 	// hears nothing of a limit before it sends a request to learn whether it has
@@ -136,12 +133,12 @@
 // entries well enough to share limits with them.
 const MemberSettleTime = 2 * time.Second
 
-// ShareQuota returns the share of the entry named self in the limit of an upstream, in
-// requests per second. Few entries share it, because a share of each entry would be too
-// small to use: those to which the callers of the given hosts are steered at the place
-// of the upstream. hosts are those whose requests go to its service.
-func ShareQuota(all []magnolialedge.Instance, self string, r magnolialedge.Registration, place Place, hosts []string, limit float64) magnolialedge.QuotaShare {
-	holders := quotaHolders(all, r, place, hosts, limit)
+// ShareQuota returns the share of the entry named self in the limit of an upstream. Few
+// entries share it, because a share of each entry would be too small to use: those to
+// which the callers of the given hosts are steered at the place of the upstream. hosts
+// are those whose requests go to its service.
+func ShareQuota(all []magnolialedge.Instance, self string, r magnolialedge.Registration, place Place, hosts []string) magnolialedge.QuotaShare {
+	holders := quotaHolders(all, r, place, hosts)
 	share := magnolialedge.QuotaShare{ExploreInterval: time.Duration(len(all)) * exploreInterval}
 	if slices.Contains(holders, self) {
 		share.Fraction = 1 / float64(len(holders))
@@ -150,7 +147,7 @@
 }
 
 // quotaHolders returns the names of the entries that share the limit of an upstream.
-func quotaHolders(all []magnolialedge.Instance, r magnolialedge.Registration, place Place, hosts []string, limit float64) []string {
+func quotaHolders(all []magnolialedge.Instance, r magnolialedge.Registration, place Place, hosts []string) []string {
 	if len(hosts) == 0 {
 		hosts = []string{r.Service}
 	}
@@ -164,6 +161,5 @@
 	names := slices.SortedFunc(maps.Keys(steered), func(a, b string) int {
 		return cmp.Or(cmp.Compare(rendezvousWeight(steered[b], r.ID), rendezvousWeight(steered[a], r.ID)), cmp.Compare(a, b))
 	})
-	wanted := min(max(1, int(limit/minHolderRate)), maxQuotaHolders)
-	return names[:min(wanted, len(names))]
+	return names[:min(maxQuotaHolders, len(names))]
 }
--- a/io/node/limit.go
+++ b/io/node/limit.go
@@ -71,12 +71,12 @@
 }
 
 // QuotaShare implements magnolialedge.QuotaSharer.
-func (q *quotaSharer) QuotaShare(now time.Time, r magnolialedge.Registration, limit float64) magnolialedge.QuotaShare {
+func (q *quotaSharer) QuotaShare(now time.Time, r magnolialedge.Registration) magnolialedge.QuotaShare {
 	q.mu.Lock()
 	hosts := q.hosts[r.Service]
 	q.mu.Unlock()
 	place := proc.Place{Region: q.regions[r.Zone], Zone: r.Zone}
-	share := proc.ShareQuota(q.members.reachable(now), q.members.self.Name, r, place, hosts, limit)
+	share := proc.ShareQuota(q.members.reachable(now), q.members.self.Name, r, place, hosts)
 	if now.Sub(q.start) < proc.MemberSettleTime {
 		share.Fraction = 0
 	}
--- a/picker.go
+++ b/picker.go
@@ -66,9 +66,8 @@
 
 // QuotaSharer divides the limits that upstreams name among the entries.
 type QuotaSharer interface {
-	// QuotaShare returns this entry's share in the limit of an upstream, in requests
-	// per second.
-	QuotaShare(now time.Time, r Registration, limit float64) QuotaShare
+	// QuotaShare returns this entry's share in the limit of an upstream.
+	QuotaShare(now time.Time, r Registration) QuotaShare
 }
 
 // LoadReport is the load that an upstream reports. It is outdated on arrival
