--- /dev/null
+++ b/io/mirror/listing.go
@@ -0,0 +1,115 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/core/mirror"
+	"magnolialedge/io/pause"
+)
+
+// deferredListDelay plus the source timeout is how long a new entry that has left the
+// listing to its sources waits for them before it lists the store itself.
+const deferredListDelay = 150 * time.Millisecond
+
+// errListingDeferred means that the rest of a listing is left to the sources.
+var errListingDeferred = errors.New("the listing is left to the sources")
+
+// list reads all items from the store and applies them. If mayDefer is set, it may
+// return errListingDeferred.
+func (f *Follower) list(ctx context.Context, mayDefer bool) error {
+	items, first, err := f.readItems(ctx, mayDefer)
+	if err != nil {
+		return err
+	}
+	f.consultPeers(ctx, items, first.Era)
+	f.apply(mirror.FromStore, message{Snapshot: true, Items: items, Position: first}, time.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isListed = true
+	f.initialized = true
+	f.hops = 0
+	return nil
+}
+
+// readItems reads all items from the store. It returns the position of the first page,
+// from which later calls request the changes, because the pages are not a snapshot of
+// one revision. If mayDefer is set, it passes the first of several pages to OnFirstPage;
+// if there are sources afterwards, it leaves the rest to them and returns
+// errListingDeferred.
+func (f *Follower) readItems(ctx context.Context, mayDefer bool) (items []magnolialedge.Item, first magnolialedge.Position, err error) {
+	after := ""
+	for {
+		page, err := f.cfg.Store.Range(ctx, f.cfg.Prefix, after)
+		if err != nil {
+			return nil, first, err
+		}
+		if after == "" {
+			first = page.Position
+		}
+		if err := f.checkEra(page.Era, first.Era); err != nil {
+			return nil, first, err
+		}
+		items = append(items, page.Items...)
+		if !page.HasMore || len(page.Items) == 0 {
+			return items, first, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+		if mayDefer {
+			mayDefer = false
+			f.cfg.OnFirstPage(items)
+			if len(f.cfg.Sources()) > 0 {
+				return nil, first, errListingDeferred
+			}
+		}
+	}
+}
+
+// fetchChanges waits for changes of the store and applies them.
+func (f *Follower) fetchChanges(ctx context.Context) error {
+	asked := f.position()
+	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, asked.Revision, f.watchWait())
+	if err != nil {
+		return err
+	}
+	if err := f.checkEra(page.Era, asked.Era); err != nil {
+		return err
+	}
+	f.apply(mirror.FromStore, message{Items: page.Items, Position: page.Position}, time.Now())
+	f.setHops(0)
+	return nil
+}
+
+// watchWait returns how long a call may wait for changes. During an outage it
+// is 0, so that the end of the outage is noticed soon.
+func (f *Follower) watchWait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreachable {
+		return 0
+	}
+	return maxWatchWait
+}
+
+// listUnlessInitialized lists the store if the sources to which a new entry left the
+// listing have not delivered items in time, for example because they are down or
+// unreachable.
+func (f *Follower) listUnlessInitialized(ctx context.Context) {
+	pause.Sleep(ctx, deferredListDelay+f.sourceTimeout())
+	for ctx.Err() == nil && !f.isInitialized() {
+		if err := f.list(ctx, false); err != nil {
+			f.recordFailure(err)
+			pause.Sleep(ctx, storeRetryDelay+rand.N(storeRetryJitter))
+		}
+	}
+}
+
+// canDeferListing reports whether the listing of a store with several pages may
+// be left to the sources.
+func (f *Follower) canDeferListing() bool {
+	return f.cfg.OnFirstPage != nil && !f.isInitialized()
+}
--- a/io/mirror/sources.go
+++ b/io/mirror/sources.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"magnolialedge/io/pause"
@@ -15,10 +14,6 @@
 	// sourceLossDelay is the delay before all sources are tried again when none of
 	// them reaches the store and this entry may not watch it.
 	sourceLossDelay = 500 * time.Millisecond
-	// deferredListDelay plus the source timeout is how long a new entry that has
-	// left the listing to its sources waits for them before it lists the store
-	// itself.
-	deferredListDelay = 150 * time.Millisecond
 )
 
 // followSources follows the sources. It returns false if none of them has served
@@ -52,22 +47,3 @@
 	}
 	return f.cfg.SourceTimeout()
 }
-
-// listUnlessInitialized lists the store if the sources to which a new entry left the
-// listing have not delivered items in time, for example because they are down or
-// unreachable.
-func (f *Follower) listUnlessInitialized(ctx context.Context) {
-	pause.Sleep(ctx, deferredListDelay+f.sourceTimeout())
-	for ctx.Err() == nil && !f.isInitialized() {
-		if err := f.list(ctx, false); err != nil {
-			f.recordFailure(err)
-			pause.Sleep(ctx, storeRetryDelay+rand.N(storeRetryJitter))
-		}
-	}
-}
-
-// canDeferListing reports whether the listing of a store with several pages may
-// be left to the sources.
-func (f *Follower) canDeferListing() bool {
-	return f.cfg.OnFirstPage != nil && !f.isInitialized()
-}
