Take a reply that names no era for one of the known era

Cause: read through the change once more: a reply without the header, or with one that cannot be parsed, counted as era 0, so that an entry that knew a later one would have lost the store. Change: the era is unknown then, and the entry's own is assumed, as for messages of earlier releases. Measured: TestReplyWithoutEraCountsAsTheKnownOne, TestRepliesNameTheEraOfARestoredStore; tests of platform and io/mirror pass.

--- a/io/mirror/listing.go
+++ b/io/mirror/listing.go
@@ -49,8 +49,9 @@
 			return nil, first, err
 		}
 		if after == "" {
-			first = page.Position
+			first = page.Position.WithEra(f.Era())
 		}
+		page.Position = page.Position.WithEra(first.Era)
 		if err := f.checkEra(page.Era, first.Era); err != nil {
 			return nil, first, err
 		}
@@ -76,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	page.Position = page.Position.WithEra(asked.Era)
 	if err := f.checkEra(page.Era, asked.Era); err != nil {
 		return err
 	}
--- a/io/mirror/reader.go
+++ b/io/mirror/reader.go
@@ -44,23 +44,18 @@
 	return r, nil
 }
 
-// unknownEra is the era of a message that names none, as those of entries of earlier
-// releases.
-const unknownEra = -1
-
 // next returns the next message, with the items of a snapshot still compressed. A
-// message that names no era gets the given one.
+// message that names no era, as those of entries of earlier releases, gets the given
+// one.
 func (r *streamReader) next(era int64) (message, error) {
 	if !r.scanner.Scan() {
 		return message{}, errors.Wrap(cmp.Or(r.scanner.Err(), io.EOF), "stream ended")
 	}
-	m := message{Position: magnolialedge.Position{Era: unknownEra}}
+	m := message{Position: magnolialedge.Position{Era: magnolialedge.UnknownEra}}
 	if err := json.Unmarshal(r.scanner.Bytes(), &m); err != nil {
 		return message{}, errors.Wrap(err, "stream")
 	}
-	if m.Era == unknownEra {
-		m.Era = era
-	}
+	m.Position = m.Position.WithEra(era)
 	return m, nil
 }
 
--- a/io/mirror/restored_test.go
+++ b/io/mirror/restored_test.go
@@ -94,3 +94,18 @@
 	require.Equal(t, magnolialedge.Position{Era: 2, Revision: old.revision}, f.position())
 	require.Equal(t, 1, f.Size())
 }
+
+// Guards against an entry that loses the store because some of its replies name no era.
+func TestReplyWithoutEraCountsAsTheKnownOne(t *testing.T) {
+	s := newFakeStore()
+	s.set("a", false)
+	f := NewFollower(Config{Store: s, OnChange: func([]magnolialedge.Item) {}, Sources: noSources, Dialer: httpPeers{}})
+	s.era = 2
+	require.NoError(t, f.list(context.Background(), false))
+	s.era = magnolialedge.UnknownEra
+	s.set("b", false)
+	require.NoError(t, f.fetchChanges(context.Background()))
+	require.NoError(t, f.list(context.Background(), false))
+	require.EqualValues(t, 2, f.Era())
+	require.Equal(t, 2, f.Size())
+}
--- a/keyspace.go
+++ b/keyspace.go
@@ -35,15 +35,26 @@
 	Lease int64 `json:"lease,omitempty"`
 }
 
+// UnknownEra is the era of a position if its source names none.
+const UnknownEra = -1
+
 // Position is a point in the history of a Keyspace. A store that is restored from
 // a copy starts a new era: its revisions continue from that of the copy, so that
 // the ones after it are used again.
 type Position struct {
-	// Era is the number of times that the store was restored.
+	// Era is the number of times that the store was restored, or UnknownEra.
 	Era      int64 `json:"era"`
 	Revision int64 `json:"revision"`
 }
 
+// WithEra returns p with the given era if its own is unknown.
+func (p Position) WithEra(era int64) Position {
+	if p.Era == UnknownEra {
+		p.Era = era
+	}
+	return p
+}
+
 // Before reports whether p precedes o.
 func (p Position) Before(o Position) bool {
 	if p.Era != o.Era {
