--- a/io/mirror/restored_test.go
+++ b/io/mirror/restored_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"maps"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"testing"
@@ -109,3 +111,24 @@
 	require.EqualValues(t, 2, f.Era())
 	require.Equal(t, 2, f.Size())
 }
+
+// Guards against an entry that follows no source of an earlier release, whose messages
+// name no era, while a new release is rolled out.
+func TestMessageWithoutEraIsAccepted(t *testing.T) {
+	source := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, `{"snapshot":true,"items":[{"key":"b","revision":5}],"revision":5,"ageMs":0}`+"\n"+`{"items":[{"key":"c","revision":6}],"revision":6,"ageMs":0}`+"\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(source.CloseClientConnections)
+	s := newFakeStore()
+	s.set("a", false)
+	s.era = 2
+	f, k := startFollower(t, s, noSources)
+	require.Eventually(t, f.hasListed, waitTimeout, time.Millisecond)
+	go func() {
+		_ = f.follow(t.Context(), source.Listener.Addr().String(), limits{staleness: maxSourceStaleness, hops: subscriberHops})
+	}()
+	require.Eventually(t, k.has("c"), waitTimeout, time.Millisecond)
+	require.EqualValues(t, 2, f.Era())
+}
