--- a/io/node/restored_test.go
+++ b/io/node/restored_test.go
@@ -109,3 +109,25 @@
 	tc.addEntry("e2", "127.0.0.2")
 	require.True(t, tc.serves("/added/1"))
 }
+
+// Guards against a fleet that starts as a whole from the copy and does not apply what the
+// operator writes again at lower revisions.
+func TestAllEntriesStartFromARestoredStore(t *testing.T) {
+	tc := newTestCluster(t)
+	copied := tc.store.Copy()
+	for range 20 {
+		tc.upstreams[0].Register(tc.store, "ready")
+	}
+	tc.routes = append(tc.routes, routeJSON("added", "/added/", "safe", 1000, "svc"))
+	tc.putConfig()
+	require.Eventually(t, func() bool { return tc.isInForce(tc.version) }, applyTimeout, 10*time.Millisecond)
+	tc.entries[0].stop()
+	<-tc.entries[0].stopped
+	tc.entries = nil
+	tc.restoreFromCopy(copied)
+	tc.addEntry("e2", "127.0.0.2")
+	tc.addEntry("e3", "127.0.0.3")
+	tc.putConfig()
+	require.Eventually(t, func() bool { return tc.serves("/added/1") && tc.isInForce(tc.version) }, applyTimeout, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return tc.store.Has("members/e2") && tc.store.Has("members/e3") }, applyTimeout, 5*time.Millisecond)
+}
