--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -100,7 +100,7 @@
 	Local bool
 	// NeedsConn is true if there is no unused connection to the upstream.
 	NeedsConn bool
-	// IsLimited is true if the upstream names a limit, so that it is not probed.
+	// IsLimited is true if the upstream announces a limit, so that it is not probed.
 	IsLimited bool
 }
 
--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -25,7 +25,7 @@
 	// Conns reports the unused connections. If it is nil, a connection to every
 	// upstream is assumed.
 	Conns magnolialedge.IdleConns
-	// Quotas divides the limits that upstreams name among the entries. If it is nil,
+	// Quotas divides the limits that upstreams announce among the entries. If it is nil,
 	// this entry may use them whole.
 	Quotas magnolialedge.QuotaSharer
 	Seed   uint64
@@ -195,7 +195,7 @@
 
 // StaleUpstreams returns at most limit usable upstreams of a service in the
 // entry's region, in random order, that report their load and whose last load
-// reading is older than maxReadingAge. Those that name a limit are left out, because
+// reading is older than maxReadingAge. Those that announce a limit are left out, because
 // a probe is a request too.
 func (f *Fleet) StaleUpstreams(now time.Time, service string, limit int) []magnolialedge.Registration {
 	var out []magnolialedge.Registration
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -12,12 +12,11 @@
 type notice struct {
 	// isLeaving is set once the upstream says that it is leaving.
 	isLeaving bool
-	// pausedUntil is the time until which the upstream wants no request from this
-	// entry.
+	// pausedUntil is the time until which the upstream asked this entry to back off.
 	pausedUntil time.Time
 	// isReturning is set from a pause until the upstream has executed a request again.
 	isReturning bool
-	// quota is set while the upstream names a limit.
+	// quota is set while the upstream announces a limit.
 	quota *quota
 }
 
@@ -69,9 +68,9 @@
 	return true
 }
 
-// RecordRetryAfter records that a run of an upstream wants no request from this entry
-// for some time. Afterwards it gets one at a time until it has executed one. It reports
-// whether the upstream was not paused before.
+// RecordRetryAfter records that a run of an upstream asks this entry to back off.
+// Afterwards it gets one request at a time until it has executed one. RecordRetryAfter
+// reports whether the upstream was not paused before.
 func (f *Fleet) RecordRetryAfter(now time.Time, r magnolialedge.Registration, wait time.Duration) bool {
 	u := f.runOf(r)
 	if u == nil {
@@ -86,7 +85,7 @@
 }
 
 // MayProbe reports whether a probe may be sent to an upstream: one that is leaving,
-// wants no requests or names a limit gets none.
+// asks to back off or announces a limit gets none.
 func (f *Fleet) MayProbe(now time.Time, id string) bool {
 	u, ok := f.byID[id]
 	return ok && u.quota == nil && !u.isLeaving && !u.isPaused(now)
--- a/core/pick/notice_test.go
+++ b/core/pick/notice_test.go
@@ -19,7 +19,7 @@
 	f.EndAttempt(now, AttemptResult{UpstreamID: id, Request: testRequest(now), Duration: took, Status: AttemptSucceeded})
 }
 
-// Load pattern: an upstream that is short of room wants no requests for a time. They
+// Load pattern: an upstream that is short of room asks the entry to back off. Requests
 // return one by one.
 func TestPausedUpstreamReturnsWithOneRequest(t *testing.T) {
 	f := newTestFleet()
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -186,7 +186,7 @@
 	// FreeSlots the number of their free slots.
 	Usable    int
 	FreeSlots int
-	// Limited is the number of upstreams that name a limit in which this entry has no
+	// Limited is the number of upstreams that announce a limit in which this entry has no
 	// share, or has used it up.
 	Limited int
 	// ExpectedWait is the expected time until the request gets a slot, and
@@ -233,8 +233,8 @@
 }
 
 // RetryAfter returns the time after which a rejected request is likely to find
-// a free slot. waiting is the number of queued requests. If all upstreams want no
-// requests for some time, it is the shortest of these times.
+// a free slot. waiting is the number of queued requests. If all upstreams asked to back
+// off, it is the shortest of their times.
 func (f *Fleet) RetryAfter(now time.Time, req Request, waiting int) time.Duration {
 	if wait, ok := f.earliestReturn(now, req.Service); ok && !f.hasUsable(now, req.Service) {
 		return max(wait, minRetryAfter)
--- a/core/pick/quota.go
+++ b/core/pick/quota.go
@@ -10,19 +10,19 @@
 const (
 	// shareInterval is the time between two updates of this entry's share in a limit.
 	shareInterval = 200 * time.Millisecond
-	// endConfirmations is the number of responses in a row that must name no limit
+	// endConfirmations is the number of responses in a row that must announce no limit
 	// before it counts as ended for an entry with a share. Responses may arrive in
 	// another order than they were sent.
 	endConfirmations = 2
 )
 
-// quota is the limit that an upstream names, as this entry keeps it.
+// quota is the limit that an upstream announces, as this entry keeps it.
 type quota struct {
 	*proc.Quota
 	// knownSince is when this entry learned of the limit.
 	knownSince time.Time
 	sharedAt   time.Time
-	// silent is the number of responses in a row that name no limit.
+	// silent is the number of responses in a row that announce no limit.
 	silent int
 }
 
@@ -32,8 +32,8 @@
 const (
 	// LimitUnchanged means that this entry keeps the limit that it knew, or none.
 	LimitUnchanged LimitChange = iota
-	// LimitNamed means that this entry did not know of a limit before.
-	LimitNamed
+	// LimitBegun means that this entry did not know of a limit before.
+	LimitBegun
 	// LimitChanged means that the limit has another value than before.
 	LimitChanged
 	// LimitEnded means that the limit no longer applies.
@@ -80,7 +80,7 @@
 func (f *Fleet) confirmLimit(now time.Time, u *upstream, limit float64) LimitChange {
 	if u.quota == nil {
 		u.quota = &quota{Quota: proc.NewQuota(now, limit, f.quotaShare(now, u)), knownSince: now, sharedAt: now}
-		return LimitNamed
+		return LimitBegun
 	}
 	before := u.quota.Limit()
 	u.quota.silent = 0
@@ -92,7 +92,7 @@
 }
 
 // QuotaRate returns the number of requests per second that this entry may send to an
-// upstream that names a limit, and false if it names none.
+// upstream that announces a limit, and false if it announces none.
 func (f *Fleet) QuotaRate(id string) (float64, bool) {
 	u, ok := f.byID[id]
 	if !ok || u.quota == nil {
@@ -101,7 +101,7 @@
 	return u.quota.Rate(), true
 }
 
-// LimitedCount returns the number of upstreams that name a limit.
+// LimitedCount returns the number of upstreams that announce a limit.
 func (f *Fleet) LimitedCount() int {
 	n := 0
 	for _, u := range f.byID {
@@ -131,13 +131,13 @@
 	}
 }
 
-// isOpen reports whether the upstream's limit, if it names one, leaves this entry a
+// isOpen reports whether the upstream's limit, if it announces one, leaves this entry a
 // share.
 func (u *upstream) isOpen(now time.Time) bool {
 	return u.quota == nil || u.quota.IsOpen(now)
 }
 
-// isWithinQuota reports whether the upstream's limit, if it names one, permits a request
+// isWithinQuota reports whether the upstream's limit, if it announces one, permits a request
 // from this entry now.
 func (u *upstream) isWithinQuota(now time.Time) bool {
 	return u.quota == nil || u.quota.IsAvailable(now)
--- a/core/pick/quota_test.go
+++ b/core/pick/quota_test.go
@@ -20,7 +20,7 @@
 	return magnolialedge.RateLimit{IsSet: true, PerSecond: perSecond}
 }
 
-// newLimitedFleet returns a fleet of the given upstreams, all of which name a limit of 2
+// newLimitedFleet returns a fleet of the given upstreams, all of which announce a limit of 2
 // a second.
 func newLimitedFleet(share float64, names ...string) *Fleet {
 	cfg := testConfig()
@@ -33,7 +33,7 @@
 	return f
 }
 
-// Load pattern: an upstream in need names a limit far below its share of the requests.
+// Load pattern: an overloaded upstream announces a limit far below its share of the requests.
 func TestLimitedUpstreamReceivesNoMoreThanItsLimit(t *testing.T) {
 	f := newLimitedFleet(1, "limited")
 	f.Register(at(0), registration("other", "east-a", 4))
@@ -49,7 +49,7 @@
 	require.Greater(t, sent["limited"], 15)
 }
 
-// Load pattern: all upstreams of a service name limits below the demand. Requests that
+// Load pattern: all upstreams of a service announce limits below the demand. Requests that
 // exceed them wait in the order of their priority, or are refused at once.
 func TestAllUpstreamsOfAServiceNameLimits(t *testing.T) {
 	f := newLimitedFleet(1, "a", "b")
@@ -122,6 +122,6 @@
 	_, isLimited := f.QuotaRate("limited")
 	require.False(t, isLimited)
 	require.Equal(t, LimitUnchanged, f.RecordPeerLimit(at(200), "limited", 4, named(1)))
-	require.Equal(t, LimitNamed, f.RecordPeerLimit(at(200), "limited", 5, named(1)))
+	require.Equal(t, LimitBegun, f.RecordPeerLimit(at(200), "limited", 5, named(1)))
 	require.Equal(t, LimitUnchanged, f.RecordPeerLimit(at(200), "unknown", 5, named(1)))
 }
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -42,10 +42,10 @@
 	UpstreamRegistered    = Event{3105, "upstreamRegistered", Info, "An upstream registered itself or changed its registration."}
 	UpstreamRemoved       = Event{3106, "upstreamRemoved", Info, "An upstream is no longer registered, or its registration cannot be used."}
 	SecondAttempt         = Event{3107, "secondAttempt", Info, "A request was sent to a second upstream because the first one was slow or did not respond."}
-	UpstreamLimited       = Event{3108, "upstreamLimited", Warning, "An upstream names a limit on the requests from all entries together, or another one than before."}
-	UpstreamLimitEnded    = Event{3109, "upstreamLimitEnded", Info, "An upstream no longer names a limit."}
+	UpstreamLimited       = Event{3108, "upstreamLimited", Warning, "An upstream announces a limit on the requests from all entries together, or another one than before."}
+	UpstreamLimitEnded    = Event{3109, "upstreamLimitEnded", Info, "An upstream no longer announces a limit."}
 	UpstreamNoticeInvalid = Event{3110, "upstreamNoticeInvalid", Warning, "A response of an upstream has a header about further requests that cannot be used; the response is passed on. At most one line a minute and upstream."}
-	UpstreamPaused        = Event{3111, "upstreamPaused", Warning, "An upstream refused a request and wants no further one from this entry for some time."}
+	UpstreamPaused        = Event{3111, "upstreamPaused", Warning, "An upstream refused a request and asked this entry to back off for some time."}
 	KeyTableFull          = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver            = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed        = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
--- a/io/link/report.go
+++ b/io/link/report.go
@@ -17,14 +17,14 @@
 	// Reading is the load of the upstream; it is valid if HasLoad is set.
 	Reading magnolialedge.LoadReading
 	HasLoad bool
-	// Limit is the limit that the response names; LimitErr is set instead if it names
+	// Limit is the limit that the response announces; LimitErr is set instead if it announces
 	// none that is valid.
 	Limit    magnolialedge.RateLimit
 	LimitErr error
 	// IsLeaving is set if the upstream is leaving.
 	IsLeaving bool
-	// RetryAfter is the time for which an upstream that is unavailable wants no request
-	// from this entry, or 0.
+	// RetryAfter is the time for which an upstream that is unavailable asks this entry to
+	// back off, or 0.
 	RetryAfter time.Duration
 	// NoticeErr is set if the response has an invalid header for one of the fields
 	// above, except Limit.
--- a/io/node/limit.go
+++ b/io/node/limit.go
@@ -19,7 +19,7 @@
 const limitReportPath = "/v1/limit"
 
 // limitReport reports that the run of an upstream that started at StartedAt, in Unix
-// milliseconds, begins to name a limit, or ceases to.
+// milliseconds, begins to announce a limit, or ceases to.
 type limitReport struct {
 	Upstream  string  `json:"upstream"`
 	StartedAt int64   `json:"startedAt"`
--- a/io/node/limit_test.go
+++ b/io/node/limit_test.go
@@ -18,7 +18,7 @@
 	// the limit: a factor and a number.
 	limitSlack = 1.5
 	limitExtra = 5
-	// limitGrace is the time after an upstream first named its limit from which it
+	// limitGrace is the time after an upstream first announced its limit from which it
 	// must be kept.
 	limitGrace = 3 * time.Second
 )
@@ -62,7 +62,7 @@
 }
 
 // Guards against an upstream that receives more requests from all entries together than
-// the limit that it names allows.
+// the limit that it announces allows.
 func TestEntriesTogetherKeepTheLimitOfAnUpstream(t *testing.T) {
 	const limit = 3.0
 	tc := newTestCluster(t)
--- a/io/node/notice_test.go
+++ b/io/node/notice_test.go
@@ -53,8 +53,8 @@
 	require.Eventually(t, func() bool { return len(again.Arrivals()) > 0 }, applyTimeout, 10*time.Millisecond)
 }
 
-// Guards against requests and probes to an upstream that wants none for a time, and
-// against a wave of them afterwards.
+// Guards against requests and probes to an upstream that asked this entry to back off,
+// and against a wave of them afterwards.
 func TestUpstreamIsLeftAloneForItsRetryAfter(t *testing.T) {
 	tc := newTestCluster(t)
 	tc.startReads(8)
@@ -74,7 +74,7 @@
 	require.LessOrEqual(t, arrivalsSince(pausing, returned), 1, "the first request is rejected again, and no other passes with it")
 }
 
-// Load pattern: all upstreams of a service want no requests for a time. Requests are
+// Load pattern: all upstreams of a service ask the entry to back off. Requests are
 // refused at once, with the earliest time at which an upstream takes them again.
 func TestAllUpstreamsWantNoRequests(t *testing.T) {
 	tc := newTestCluster(t)
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -29,7 +29,7 @@
 	Probes proc.ProbeLimits
 	// ReportCrash notifies the other entries that a request crashed upstreams.
 	ReportCrash func(fingerprint uint64, losses int)
-	// ReportLimit notifies the other entries that an upstream begins or ceases to name
+	// ReportLimit notifies the other entries that an upstream begins or ceases to announce
 	// a limit.
 	ReportLimit func(magnolialedge.Registration, magnolialedge.RateLimit)
 }
--- a/io/serve/limit.go
+++ b/io/serve/limit.go
@@ -26,7 +26,7 @@
 	f.mu.Unlock()
 	f.logLimit(r, change, report.Limit, rate, "response")
 	hasShare := rate > 0 || rateBefore > 0
-	if hasShare && (change == pick.LimitNamed || change == pick.LimitEnded) {
+	if hasShare && (change == pick.LimitBegun || change == pick.LimitEnded) {
 		f.cfg.ReportLimit(r, report.Limit)
 	}
 }
@@ -42,7 +42,7 @@
 	f.logLimit(r, change, limit, rate, "peer")
 }
 
-// LimitedUpstreams returns the number of upstreams that name a limit.
+// LimitedUpstreams returns the number of upstreams that announce a limit.
 func (f *Forwarder) LimitedUpstreams() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -52,7 +52,7 @@
 // logLimit logs a change of a limit. rate is the part of it that this entry may use.
 func (f *Forwarder) logLimit(r magnolialedge.Registration, change pick.LimitChange, limit magnolialedge.RateLimit, rate float64, from string) {
 	switch change {
-	case pick.LimitNamed, pick.LimitChanged:
+	case pick.LimitBegun, pick.LimitChanged:
 		f.cfg.Log.Log(event.UpstreamLimited, "upstream", r.ID, "service", r.Service, "limit", limit.PerSecond, "ownRate", rate, "from", from)
 	case pick.LimitEnded:
 		f.cfg.Log.Log(event.UpstreamLimitEnded, "upstream", r.ID, "service", r.Service, "from", from)
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -187,7 +187,7 @@
 
 // verifyConn reports whether an unused connection can carry a request: it was used
 // recently, or a health check on it succeeds. For an idempotent request to an
-// upstream that reports no load, the check is skipped. An upstream that names a limit
+// upstream that reports no load, the check is skipped. An upstream that announces a limit
 // gets no check, which would count towards it. A connection that fails the
 // check is closed, with the upstream's other unused ones if it reports load.
 func (f *Forwarder) verifyConn(ctx context.Context, c *link.Conn, candidate pick.Candidate, nonIdempotent bool, healthPath string) bool {
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -21,7 +21,7 @@
 	// responseGrace is how long after a request's timeout its response may arrive.
 	responseGrace = 300 * time.Millisecond
 
-	// From limitGrace after an upstream began to name a limit, the entries may send it
+	// From limitGrace after an upstream began to announce a limit, the entries may send it
 	// limitSlack times what that allows, plus limitExtra, in any limitWindow.
 	limitGrace  = 3 * time.Second
 	limitWindow = 4 * time.Second
@@ -171,7 +171,7 @@
 }
 
 // checkNotices records a breach for each entry that sent an upstream requests although a
-// response had told it that the upstream wants none.
+// response had asked it to back off.
 func (cl *cluster) checkNotices(all []outcome) {
 	entries := entriesByRequest(all)
 	for _, u := range cl.upstreams {
@@ -200,7 +200,7 @@
 			}
 		}
 		if n > maxNoticeRequests && cl.disturbances.isUndisturbed(entry, told.Add(-settleTime), s.to) {
-			cl.breach("%s sent %d requests to %s, which had told it at %s to send none for %s", entry, n, u.id, told.Format(time.StampMilli), s.wait)
+			cl.breach("%s sent %d requests to %s, which had asked it at %s to back off for %s", entry, n, u.id, told.Format(time.StampMilli), s.wait)
 			return
 		}
 	}
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -202,7 +202,7 @@
 	return nil
 }
 
-// limitUpstream makes an upstream name a limit of 0.5 to 8 requests a second.
+// limitUpstream makes an upstream announce a limit of 0.5 to 8 requests a second.
 func limitUpstream(ctx context.Context, cl *cluster, r *rand.Rand) error {
 	u, release, ok := reserve(cl, r, cl.upstreams)
 	if !ok {
@@ -232,8 +232,8 @@
 	return nil
 }
 
-// pauseUpstream makes an upstream refuse all requests and want none from the entry for
-// 1 to 3 seconds.
+// pauseUpstream makes an upstream refuse all requests and ask the entry to back off for 1
+// to 3 seconds.
 func pauseUpstream(ctx context.Context, cl *cluster, r *rand.Rand) error {
 	u, release, ok := reserve(cl, r, cl.upstreams)
 	if !ok {
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -43,8 +43,8 @@
 	notices []noticeSpan
 }
 
-// noticeSpan is a time during which each response of an upstream said that it wants no
-// further request from the same entry for wait.
+// noticeSpan is a time during which each response of an upstream asked the entry to back
+// off for wait.
 type noticeSpan struct {
 	timeSpan
 	wait time.Duration
@@ -53,7 +53,7 @@
 // untilEnd is the wait of an upstream that is leaving.
 const untilEnd = time.Hour
 
-// limitSpan is a time during which an upstream named a limit.
+// limitSpan is a time during which an upstream announced a limit.
 type limitSpan struct {
 	timeSpan
 	perSecond float64
@@ -129,7 +129,7 @@
 	}
 }
 
-// startLimit makes all responses name a limit. The returned function ends it.
+// startLimit makes all responses announce a limit. The returned function ends it.
 func (u *upstream) startLimit(perSecond float64) (end func()) {
 	start := time.Now()
 	u.latest().SetLimit(strconv.FormatFloat(perSecond, 'f', 2, 64))
@@ -141,7 +141,7 @@
 	}
 }
 
-// startNotice records that responses begin to say that the upstream wants no requests.
+// startNotice records that responses begin to ask entries to back off.
 // The returned function records the end.
 func (u *upstream) startNotice(wait time.Duration) (end func()) {
 	start := time.Now()
--- a/picker.go
+++ b/picker.go
@@ -64,7 +64,7 @@
 	ExploreInterval time.Duration
 }
 
-// QuotaSharer divides the limits that upstreams name among the entries.
+// QuotaSharer divides the limits that upstreams announce among the entries.
 type QuotaSharer interface {
 	// QuotaShare returns this entry's share in the limit of an upstream.
 	QuotaShare(now time.Time, r Registration) QuotaShare
--- a/route.go
+++ b/route.go
@@ -135,7 +135,7 @@
 // RateLimit is what a response says about the limit on the requests that an upstream
 // takes from all entries together.
 type RateLimit struct {
-	// IsSet is true if the response names a limit.
+	// IsSet is true if the response announces a limit.
 	IsSet     bool
 	PerSecond float64
 }
@@ -188,7 +188,7 @@
 	// Limit carries a RateLimit, in all responses while the limit applies.
 	Limit string
 	// ParseLimit parses the values of the Limit header. It returns an error if they
-	// do not name one valid limit.
+	// do not announce one valid limit.
 	ParseLimit func([]string) (RateLimit, error)
 	// Leaving marks all responses of an upstream that is leaving.
 	Leaving string
