Log how a refusing entry reached the upstreams

The line of a refusal could not tell an entry that reaches no upstream from one whose attempts or budgets ended early: it had no time of the last response and no count of upstreams that did not respond. No decision depends on them. Measured: TestShortageTellsHowTheUpstreamsWereReached, TestReportOfRejectionTellsHowTheEntryReachedTheUpstreams pass.

--- a/cmd/magnolialedge/explain.go
+++ b/cmd/magnolialedge/explain.go
@@ -123,8 +123,21 @@
 	if fields["usable"] == "" {
 		return ""
 	}
-	return fmt.Sprintf("rejected with %s usable upstreams, %s free slots, %s upstreams whose limit left nothing and %s queued requests; expected a wait of %s ms and %s ms of service; the readings were %s ms old on average",
+	text := fmt.Sprintf("rejected with %s usable upstreams, %s free slots, %s upstreams whose limit left nothing and %s queued requests; expected a wait of %s ms and %s ms of service; the readings were %s ms old on average",
 		fields["usable"], fields["freeSlots"], cmp.Or(fields["limited"], "0"), fields["queued"], fields["expectedWaitMs"], fields["serviceMs"], fields["readingAgeMs"])
+	if fields["unreachable"] == "" {
+		return text
+	}
+	return text + "; " + formatContact(fields)
+}
+
+// formatContact describes how the entry reached the upstreams of the service.
+func formatContact(fields map[string]string) string {
+	last := "no upstream of the service had ever responded"
+	if age := fields["contactAgeMs"]; age != "-1" && age != "" {
+		last = "one of them had last responded " + age + " ms before"
+	}
+	return fields["unreachable"] + " upstreams did not respond to this entry, and " + last
 }
 
 // formatAttempt describes an attempt that the log reports as
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -189,6 +189,11 @@
 	// Limited is the number of upstreams that announce a limit in which this entry has no
 	// share, or has used it up.
 	Limited int
+	// Unreachable is the number of upstreams that did not respond to this entry when it
+	// last tried them, and ContactAge the time since any upstream of the service responded
+	// to it, or -1 if none has.
+	Unreachable int
+	ContactAge  time.Duration
 	// ExpectedWait is the expected time until the request gets a slot, and
 	// ServiceTime the time that it then takes.
 	ExpectedWait time.Duration
@@ -202,6 +207,7 @@
 func (f *Fleet) ShortageFor(now time.Time, req Request, waiting int) Shortage {
 	s := Shortage{}
 	s.ExpectedWait, s.ServiceTime = f.expectedWait(now, req, waiting)
+	s.Unreachable, s.ContactAge = f.contact(now, req.Service)
 	contention := f.contentionOf(req.Service)
 	age, readings := time.Duration(0), 0
 	for _, u := range f.byService[req.Service] {
@@ -228,6 +234,33 @@
 	return s
 }
 
+// contact returns the number of upstreams of a service that did not respond when they
+// were last tried, and the time since any of them responded, or -1 if none has.
+func (f *Fleet) contact(now time.Time, service string) (unreachable int, age time.Duration) {
+	age = -1
+	for _, u := range f.byService[service] {
+		if u.backoff > 0 {
+			unreachable++
+		}
+		if !u.contactAt.IsZero() && (age < 0 || now.Sub(u.contactAt) < age) {
+			age = now.Sub(u.contactAt)
+		}
+	}
+	return unreachable, age
+}
+
+// UnreachableCount returns the number of upstreams of all services that did not respond
+// when they were last tried.
+func (f *Fleet) UnreachableCount() int {
+	n := 0
+	for _, u := range f.byID {
+		if u.backoff > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Fleet) hasUsable(now time.Time, service string) bool {
 	return slices.ContainsFunc(f.byService[service], func(u *upstream) bool { return u.isUsable(now) })
 }
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -70,6 +70,8 @@
 	// because it was unreachable, and backoff is the length of that time.
 	backoffUntil time.Time
 	backoff      time.Duration
+	// contactAt is the time of the last response, whatever it was, or zero.
+	contactAt time.Time
 	// isNewcomer is true until the first request to an upstream that registered
 	// after the initial listing. registeredAt is the time of its registration.
 	isNewcomer   bool
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -17,6 +17,7 @@
 		{"store_revision", "Revision of the store that the entry's items reflect.", func() float64 { return float64(n.follower.Revision()) }},
 		{"store_era", "Number of times that the store was restored, as far as the entry knows.", func() float64 { return float64(n.follower.Era()) }},
 		{"upstream_limits", "Upstreams that announce a limit on the requests from all entries.", func() float64 { return float64(n.forwarder.LimitedUpstreams()) }},
+		{"upstreams_unreachable", "Upstreams that did not respond to this entry when it last tried them.", func() float64 { return float64(n.forwarder.UnreachableUpstreams()) }},
 		{"store_age_seconds", "Time since the store was last reached, by the entry or by its source.", func() float64 { return n.follower.Staleness(time.Now()).Seconds() }},
 	}
 	for _, g := range gauges {
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -74,12 +74,12 @@
 		return
 	}
 	x.f.recordReport(p.Registration, sentAt, x.id, r.response.Report)
-	if !r.response.HasLoad {
-		return
-	}
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
-	x.f.fleet.RecordLoad(time.Now(), p.ID, r.response.Reading)
+	x.f.fleet.RecordContact(time.Now(), p.ID)
+	if r.response.HasLoad {
+		x.f.fleet.RecordLoad(time.Now(), p.ID, r.response.Reading)
+	}
 }
 
 // finishAttempt records the end of an attempt. If the connection was lost after
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -146,6 +146,7 @@
 	f.recordReport(c.Upstream, sentAt, "", report)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.fleet.RecordContact(time.Now(), c.Upstream.ID)
 	if report.HasLoad {
 		f.fleet.RecordLoad(time.Now(), c.Upstream.ID, report.Reading)
 	} else {
@@ -172,6 +173,14 @@
 	}
 }
 
+// UnreachableUpstreams returns the number of upstreams that did not respond when they were
+// last tried.
+func (f *Forwarder) UnreachableUpstreams() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fleet.UnreachableCount()
+}
+
 // connect returns a connection for a request: a pooled one that passes
 // verifyConn, or a new one.
 func (f *Forwarder) connect(ctx context.Context, candidate pick.Candidate, nonIdempotent bool, healthPath string) (*link.Conn, error) {
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -52,6 +52,8 @@
 		"usable", s.Usable,
 		"freeSlots", s.FreeSlots,
 		"limited", s.Limited,
+		"unreachable", s.Unreachable,
+		"contactAgeMs", contactAgeMs(s.ContactAge),
 		"queued", x.queued,
 		"expectedWaitMs", s.ExpectedWait.Milliseconds(),
 		"serviceMs", s.ServiceTime.Milliseconds(),
@@ -59,6 +61,14 @@
 	}
 }
 
+// contactAgeMs returns the age in milliseconds, or -1 for one that is negative.
+func contactAgeMs(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 // attemptsText formats each attempt as
 // upstream:end:tookMs:readingAgeMs:slowness:load, separated by spaces.
 func (x *exchange) attemptsText() string {
