Show that entries without upstreams refuse their callers, and convict requests for all

Callers of entries that reach no upstream are refused with 503; and an entry that lost its own links takes two losses for crashes of a popular request and reports it, so that all entries refuse it for 30 s. No logic changes.

--- a/io/node/cluster_test.go
+++ b/io/node/cluster_test.go
@@ -42,6 +42,8 @@
 	stop     context.CancelFunc
 	stopped  chan struct{}
 	logs     *syncBuffer
+	// partition cuts the entry off from upstreams.
+	partition *stand.Partition
 }
 
 type syncBuffer struct {
@@ -164,8 +166,9 @@
 			FirstPort: peer, LastPort: peer, StopTimeout: 6 * time.Second, MaxPropagation: time.Second, RetryRatio: 0.2, RetryExtra: 400,
 			MaxResolveTTL: 5 * time.Second,
 		},
-		stopped: make(chan struct{}),
-		logs:    &syncBuffer{},
+		stopped:   make(chan struct{}),
+		logs:      &syncBuffer{},
+		partition: stand.NewPartition(),
 	}
 	change(&e.settings)
 	n, err := node.New(node.Config{
@@ -175,6 +178,8 @@
 		API:       platform.EntryAPI{},
 		NewStore:  platform.OpenStore,
 		LogWriter: e.logs,
+
+		UpstreamDialer: e.partition,
 	})
 	require.NoError(tc.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -240,7 +245,15 @@
 	return resp, id
 }
 
+// callerDeadline is how long callers wait for a response.
+const callerDeadline = 2 * time.Second
+
 func sendTo(ctx context.Context, c *http.Client, address, method, path, body, id string) (response, error) {
+	return sendWithin(ctx, callerDeadline, c, address, method, path, body, id)
+}
+
+// sendWithin sends a request whose caller waits for the given time.
+func sendWithin(ctx context.Context, deadline time.Duration, c *http.Client, address, method, path, body, id string) (response, error) {
 	var r io.Reader
 	if body != "" {
 		r = bytes.NewReader([]byte(body))
@@ -251,7 +264,7 @@
 	}
 	req.Host = host
 	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", "2000")
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := c.Do(req)
 	if err != nil {
 		return response{}, err
--- /dev/null
+++ b/io/node/cutoff_test.go
@@ -0,0 +1,190 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"magnolialedge/platform/stand"
+)
+
+const (
+	// cutSettleTime is the time from the beginning of a partition until callers of the
+	// entries that are cut off must be served again.
+	cutSettleTime = 2 * time.Second
+	// attemptDeadline is how long callers wait for a response to an attempt.
+	attemptDeadline = 4 * time.Second
+	// cutServedRatio is how often first attempts at these entries must succeed then,
+	// in relation to those at the others.
+	cutServedRatio = 0.98
+)
+
+// attempt is the first attempt of a caller.
+type attempt struct {
+	entry  string
+	at     time.Time
+	status int
+}
+
+// attempts records the attempts of callers.
+type attempts struct {
+	mu   sync.Mutex
+	list []attempt
+}
+
+// ratio returns the share of the attempts at the given entries that succeeded, and
+// their number, among those sent between two times.
+func (a *attempts) ratio(from, to time.Time, entries ...*testEntry) (float64, int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	sent, ok := 0, 0
+	for _, e := range entries {
+		for _, x := range a.list {
+			if x.entry != e.settings.Name || x.at.Before(from) || !x.at.Before(to) {
+				continue
+			}
+			sent++
+			if x.status == http.StatusOK {
+				ok++
+			}
+		}
+	}
+	return float64(ok) / float64(max(1, sent)), sent
+}
+
+// startAttempts sends requests to all entries, from four workers each, until the test
+// ends. path returns the path of the request with a number; a method other than GET is
+// used for those that begin with /writes/.
+func (tc *testCluster) startAttempts(path func(n int) string) *attempts {
+	a := &attempts{}
+	var group sync.WaitGroup
+	for _, e := range tc.entries {
+		for worker := range 4 {
+			group.Go(func() {
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: worker == 0}}
+				for n := worker; tc.t.Context().Err() == nil; n++ {
+					tc.sendAttempt(a, client, e, path(n))
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+	}
+	tc.t.Cleanup(group.Wait)
+	return a
+}
+
+func (tc *testCluster) sendAttempt(a *attempts, client *http.Client, e *testEntry, path string) {
+	method, body := "GET", ""
+	if strings.HasPrefix(path, "/writes/") {
+		method, body = "POST", "x"
+	}
+	x := attempt{entry: e.settings.Name, at: time.Now()}
+	resp, err := sendWithin(tc.t.Context(), attemptDeadline, client, e.settings.CallerAddress, method, path, body, tc.nextID())
+	if tc.t.Context().Err() != nil {
+		return
+	}
+	if err == nil {
+		x.status = resp.status
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list = append(a.list, x)
+}
+
+// newCutCluster starts four upstreams and four entries, the first two of which are to be
+// cut off.
+func newCutCluster(t *testing.T) (tc *testCluster, cut, others []*testEntry) {
+	tc = newTestCluster(t)
+	tc.addUpstream("u3")
+	tc.addUpstream("u4")
+	for i := 2; i <= 4; i++ {
+		tc.addEntry(fmt.Sprintf("e%d", i), fmt.Sprintf("127.0.0.%d", i))
+	}
+	time.Sleep(500 * time.Millisecond)
+	return tc, tc.entries[:2], tc.entries[2:]
+}
+
+func setPartition(entries []*testEntry, mode stand.PartitionMode) {
+	for _, e := range entries {
+		e.partition.Set(mode)
+	}
+}
+
+// differentRequests returns paths of reads and writes that are all different.
+func differentRequests(n int) string {
+	if n%4 == 0 {
+		return fmt.Sprintf("/writes/%d", n)
+	}
+	return fmt.Sprintf("/reads/%d", n)
+}
+
+// Guards against callers of entries that reach no upstream being refused while other
+// entries reach all of them.
+func TestCallersOfEntriesThatReachNoUpstreamAreServed(t *testing.T) {
+	for name, mode := range map[string]stand.PartitionMode{
+		"hang":      stand.PartitionHang,
+		"reset":     stand.PartitionReset,
+		"refuseNew": stand.PartitionRefuseNew,
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc, cut, others := newCutCluster(t)
+			sent := tc.startAttempts(differentRequests)
+			time.Sleep(time.Second)
+			begun := time.Now()
+			setPartition(cut, mode)
+			time.Sleep(cutSettleTime + 4*time.Second)
+			setPartition(cut, stand.PartitionNone)
+			ended := time.Now()
+			time.Sleep(cutSettleTime + 2*time.Second)
+			for _, span := range [][2]time.Time{{begun.Add(cutSettleTime), ended}, {ended.Add(cutSettleTime), time.Now()}} {
+				served, n := sent.ratio(span[0], span[1], cut...)
+				reference, m := sent.ratio(span[0], span[1], others...)
+				t.Logf("served %.3f of %d at the entries that were cut off, %.3f of %d at the others", served, n, reference, m)
+				require.Greater(t, n, 50)
+				require.Greater(t, reference, 0.98)
+				require.GreaterOrEqual(t, served, cutServedRatio*reference)
+			}
+			for _, u := range tc.upstreams {
+				for id, runs := range u.Runs() {
+					require.LessOrEqual(t, runs, 2, id)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an entry that loses its own links taking the losses for crashes that a
+// popular request caused, so that all entries refuse the request.
+func TestEntryThatLosesItsLinksQuarantinesNoRequest(t *testing.T) {
+	for name, mode := range map[string]stand.PartitionMode{
+		"hang":  stand.PartitionHang,
+		"reset": stand.PartitionReset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc, cut, others := newCutCluster(t)
+			tc.routes = []string{routeJSON("reads", "/reads/", "safe", 4000, "svc")}
+			tc.putConfig()
+			for _, u := range tc.upstreams {
+				u.SetSlowdown(5)
+			}
+			sent := tc.startAttempts(func(int) string { return "/reads/popular" })
+			time.Sleep(time.Second)
+			begun := time.Now()
+			setPartition(cut, mode)
+			time.Sleep(4 * time.Second)
+			setPartition(cut, stand.PartitionNone)
+			time.Sleep(5 * time.Second)
+			served, n := sent.ratio(begun, time.Now(), others...)
+			t.Logf("served %.3f of %d at the entries with reach", served, n)
+			require.Greater(t, served, 0.98)
+			for _, e := range tc.entries {
+				require.NotContains(t, e.logs.String(), "name=upstreamCrashed")
+			}
+		})
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -39,6 +39,9 @@
 	// with the name of each call.
 	NewStore  func(address string, transport *http.Transport, count func(call string)) magnolialedge.Keyspace
 	LogWriter io.Writer
+	// UpstreamDialer opens the connections to upstreams. If it is nil, they are opened
+	// directly.
+	UpstreamDialer link.Dialer
 }
 
 // Node is one entry: a load balancer process on the users' platform.
@@ -103,7 +106,7 @@
 	n.members = newMembers(n.self())
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
-	n.pool = link.NewPool(link.PoolConfig{Dialer: dialer, Headers: cfg.Headers})
+	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
 		Fleet: pick.NewFleet(pick.Config{
 			Zone:          s.Zone,
@@ -160,6 +163,13 @@
 	return n, nil
 }
 
+func upstreamDialer(cfg Config, direct link.Dialer) link.Dialer {
+	if cfg.UpstreamDialer != nil {
+		return cfg.UpstreamDialer
+	}
+	return direct
+}
+
 // transferCosts returns how traffic is weighed against latency, given the present
 // members.
 func (n *Node) transferCosts() pick.TransferCosts {
