Count a lost upstream against a request only if an upstream near it responds

Cause: an entry that loses its own links took each upstream that it could no longer reach for one that the request had crashed. Two such losses of one request (a popular read) quarantined it for 30 s, and the report made all entries refuse it: callers of entries with reach got 503 for a request that is harmless. A fault of the observer was taken for one of the observed. Ruled out: telling the two by the error (a partition resets and refuses too), and by responses on existing connections (a fault may spare those and refuse new ones). Change: after the health check of the lost upstream has failed, an upstream of the same zone (else region, else any) must respond on a new connection, else the loss is logged (upstreamLossDoubted) and not counted.

--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -131,13 +131,7 @@
 }
 
 func (f *Fleet) distanceTo(zone string) distance {
-	switch {
-	case zone == f.cfg.Zone:
-		return sameZone
-	case f.cfg.Regions[zone] == f.cfg.Regions[f.cfg.Zone]:
-		return sameRegion
-	}
-	return otherRegion
+	return f.distanceBetween(zone, f.cfg.Zone)
 }
 
 // BeginAttempt counts a request as in flight at an upstream. EndAttempt must
--- /dev/null
+++ b/core/pick/neighbor.go
@@ -0,0 +1,44 @@
+package pick
+
+import (
+	"cmp"
+	"slices"
+
+	"magnolialedge"
+)
+
+// Neighbors returns at most limit upstreams other than r, of any service, in random
+// order: those of its availability zone, or of its region if it is the only one of its
+// zone, or else any. An entry that reaches none of them has probably lost its link to
+// that place, rather than r its life. Upstreams that want no probes are left out.
+func (f *Fleet) Neighbors(r magnolialedge.Registration, limit int) []magnolialedge.Registration {
+	byDistance := map[distance][]magnolialedge.Registration{}
+	for _, u := range f.byID {
+		if u.ID == r.ID || u.Draining || u.isLeaving || u.quota != nil {
+			continue
+		}
+		d := f.distanceBetween(u.Zone, r.Zone)
+		byDistance[d] = append(byDistance[d], u.Registration)
+	}
+	for _, d := range []distance{sameZone, sameRegion, otherRegion} {
+		out := byDistance[d]
+		if len(out) == 0 {
+			continue
+		}
+		slices.SortFunc(out, func(a, b magnolialedge.Registration) int { return cmp.Compare(a.ID, b.ID) })
+		f.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		return out[:min(limit, len(out))]
+	}
+	return nil
+}
+
+// distanceBetween classifies where two availability zones are relative to each other.
+func (f *Fleet) distanceBetween(a, b string) distance {
+	switch {
+	case a == b:
+		return sameZone
+	case f.cfg.Regions[a] == f.cfg.Regions[b]:
+		return sameRegion
+	}
+	return otherRegion
+}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -46,6 +46,7 @@
 	UpstreamLimitEnded    = Event{3109, "upstreamLimitEnded", Info, "An upstream no longer announces a limit."}
 	UpstreamNoticeInvalid = Event{3110, "upstreamNoticeInvalid", Warning, "A response of an upstream has a header about further requests that cannot be used; the response is passed on. At most one line a minute and upstream."}
 	UpstreamPaused        = Event{3111, "upstreamPaused", Warning, "An upstream refused a request and asked this entry to back off for some time."}
+	UpstreamLossDoubted   = Event{3112, "upstreamLossDoubted", Warning, "An upstream could not be reached after its connection had broken during a request, but neither could upstreams near it; the loss is not counted for the request."}
 	KeyTableFull          = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver            = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed        = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
@@ -67,7 +68,7 @@
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
-		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, KeyTableFull, HandedOver,
+		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, UpstreamLossDoubted, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- a/io/node/cutoff_test.go
+++ b/io/node/cutoff_test.go
@@ -188,3 +188,32 @@
 		})
 	}
 }
+
+// Guards against a request that crashes each upstream that runs it being sent to one
+// after the other.
+func TestRequestThatCrashesUpstreamsIsQuarantinedEverywhere(t *testing.T) {
+	tc := newTestCluster(t)
+	var fragile []*stand.Upstream
+	for i := range 6 {
+		u := stand.NewUpstream(stand.UpstreamConfig{ID: fmt.Sprintf("fragile%d", i), Service: "svc", Zone: "east-a", Slots: 4, WorkDuration: 5 * time.Millisecond, CrashPath: "/reads/poison"})
+		t.Cleanup(u.Close)
+		u.Register(tc.store, "ready")
+		fragile = append(fragile, u)
+	}
+	for _, u := range tc.upstreams {
+		u.Deregister(tc.store)
+	}
+	tc.addEntry("e2", "127.0.0.2")
+	time.Sleep(500 * time.Millisecond)
+	isQuarantinedAt := func(e *testEntry) bool {
+		resp, err := sendTo(t.Context(), http.DefaultClient, e.settings.CallerAddress, "GET", "/reads/poison", "", tc.nextID())
+		return err == nil && resp.status == http.StatusServiceUnavailable && strings.Contains(resp.body, "quarantined")
+	}
+	require.Eventually(t, func() bool { return isQuarantinedAt(tc.entries[0]) }, 3*time.Second, 100*time.Millisecond)
+	require.Eventually(t, func() bool { return isQuarantinedAt(tc.entries[1]) }, time.Second, 100*time.Millisecond)
+	crashed := 0
+	for _, u := range fragile {
+		crashed += min(1, len(u.Arrivals()))
+	}
+	require.LessOrEqual(t, crashed, 3)
+}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"magnolialedge"
 	"magnolialedge/core/pick"
 	"magnolialedge/io/event"
@@ -170,29 +168,3 @@
 	}
 	return magnolialedge.KindUpstreamLost
 }
-
-// crashCheckDelay is the time between the loss of a connection and the health
-// check of its upstream.
-const crashCheckDelay = 30 * time.Millisecond
-
-// checkCrash records that a request crashed an upstream if the upstream that lost
-// the request is no longer reachable, and reports it to the other entries.
-func (f *Forwarder) checkCrash(r magnolialedge.Registration, fingerprint uint64, healthPath string) {
-	time.Sleep(crashCheckDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	c, err := f.openConn(ctx, r)
-	if err == nil {
-		err = f.checkHealth(ctx, c, healthPath)
-		f.cfg.Pool.Put(c)
-	}
-	if err == nil || errors.Is(err, link.ErrWrongInstance) {
-		return
-	}
-	f.markUnreachable(r, err)
-	f.mu.Lock()
-	losses := f.quarantine.RecordLoss(time.Now(), fingerprint)
-	f.mu.Unlock()
-	f.cfg.Log.Log(event.UpstreamCrashed, "upstream", r.ID, "fingerprint", fingerprint, "losses", losses)
-	f.cfg.ReportCrash(fingerprint, losses)
-}
