Hand requests to another entry while this one reaches no upstream

Cause: an entry whose links to the upstreams are lost had no way to serve: it tried one upstream after the other, refused with 503, and neither resolve responses nor the entry itself passed its callers on. The others reached all upstreams meanwhile. Class: a fault of one's own links answered as if it were one of the upstreams. Ruled out: steering alone (callers keep resolve responses for seconds, connections longer); a store of who reaches whom (the store may be away); waiting for the retry of the caller (the first attempt counts). Change: core/reach decides from responses and failures of its own requests and probes when the links of a service count as lost (several upstreams in two zones, nothing in between), and when requests return, by degrees, with longer losses for a link that comes and goes. Meanwhile requests go to one of two entries, over connections that are switched from the peer port; what crosses is the match, the time left, the attempts. An entry that reaches nothing says so in its listing; Steer leaves it out as long as others reach any.

--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -158,13 +158,6 @@
 	}
 }
 
-// RecordContact records that an upstream responded, whatever the response was.
-func (f *Fleet) RecordContact(now time.Time, id string) {
-	if u, ok := f.byID[id]; ok {
-		u.contactAt = now
-	}
-}
-
 // RecordProbe records that a probe was sent to an upstream to read its load. A
 // probe without a timely response counts as overdue.
 func (f *Fleet) RecordProbe(now time.Time, id string) {
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -72,6 +72,14 @@
 	return true
 }
 
+// WakeAll wakes all waiters, so that each looks for another way.
+func (q *Queue) WakeAll() {
+	for _, w := range q.waiters {
+		w.Wake(WakeForCapacity)
+	}
+	q.waiters = nil
+}
+
 // Dispatch wakes the waiters that have timed out. It then wakes the others that
 // have a candidate, in order, and no more of them than there are free slots.
 func (q *Queue) Dispatch(now time.Time, f *Fleet) {
@@ -234,33 +242,6 @@
 	return s
 }
 
-// contact returns the number of upstreams of a service that did not respond when they
-// were last tried, and the time since any of them responded, or -1 if none has.
-func (f *Fleet) contact(now time.Time, service string) (unreachable int, age time.Duration) {
-	age = -1
-	for _, u := range f.byService[service] {
-		if u.backoff > 0 {
-			unreachable++
-		}
-		if !u.contactAt.IsZero() && (age < 0 || now.Sub(u.contactAt) < age) {
-			age = now.Sub(u.contactAt)
-		}
-	}
-	return unreachable, age
-}
-
-// UnreachableCount returns the number of upstreams of all services that did not respond
-// when they were last tried.
-func (f *Fleet) UnreachableCount() int {
-	n := 0
-	for _, u := range f.byID {
-		if u.backoff > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 func (f *Fleet) hasUsable(now time.Time, service string) bool {
 	return slices.ContainsFunc(f.byService[service], func(u *upstream) bool { return u.isUsable(now) })
 }
--- a/core/proc/steer.go
+++ b/core/proc/steer.go
@@ -40,7 +40,20 @@
 // HasOwnEntries reports whether the zone of p has enough live entries to serve its
 // own callers.
 func (p Place) HasOwnEntries(all []magnolialedge.Instance) bool {
-	return p.Zone != "" && len(liveInstances(all, p)) >= minZoneEntries
+	return p.Zone != "" && len(liveInstances(withReach(all), p)) >= minZoneEntries
+}
+
+// withReach returns the instances that reach upstreams, or all if no live one does.
+func withReach(all []magnolialedge.Instance) []magnolialedge.Instance {
+	isIsolated := func(in magnolialedge.Instance) bool { return in.Isolated }
+	if !slices.ContainsFunc(all, isIsolated) {
+		return all
+	}
+	out := slices.DeleteFunc(slices.Clone(all), isIsolated)
+	if len(liveInstances(out, Place{})) == 0 {
+		return all
+	}
+	return out
 }
 
 // Steer returns the live entries in the order in which callers at place use them
@@ -48,8 +61,10 @@
 // hash. It returns those of the zone if the zone has enough, else those of the
 // region, or those of all regions if the region has none. The second result is the
 // number of leading entries that share the traffic; the others are spares. rate is
-// the number of requests per second for the service at the place.
+// the number of requests per second for the service at the place. Instances that reach no
+// upstream are left out as long as others reach any.
 func Steer(all []magnolialedge.Instance, place Place, service string, rate float64) ([]magnolialedge.Instance, int) {
+	all = withReach(all)
 	if !place.HasOwnEntries(all) {
 		place.Zone = ""
 	}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -47,6 +47,11 @@
 	UpstreamNoticeInvalid = Event{3110, "upstreamNoticeInvalid", Warning, "A response of an upstream has a header about further requests that cannot be used; the response is passed on. At most one line a minute and upstream."}
 	UpstreamPaused        = Event{3111, "upstreamPaused", Warning, "An upstream refused a request and asked this entry to back off for some time."}
 	UpstreamLossDoubted   = Event{3112, "upstreamLossDoubted", Warning, "An upstream could not be reached after its connection had broken during a request, but neither could upstreams near it; the loss is not counted for the request."}
+	UpstreamsLost         = Event{3113, "upstreamsLost", Warning, "This entry reaches none of several upstreams of a service; its requests are handed to other entries."}
+	UpstreamsReturning    = Event{3114, "upstreamsReturning", Info, "Upstreams of a service can be reached again; requests return to them by degrees."}
+	IsolationChanged      = Event{3115, "isolationChanged", Warning, "This entry reaches no upstream of any service, or reaches one again; callers are steered to others meanwhile."}
+	HandoverLost          = Event{3116, "handoverLost", Warning, "The connection to another entry broke while it had a request of this one."}
+	HandoverInvalid       = Event{3117, "handoverInvalid", Warning, "A request that another entry handed over was refused because its description is missing or invalid. At most one line a minute and peer."}
 	KeyTableFull          = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver            = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed        = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
@@ -68,7 +73,8 @@
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
-		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, UpstreamLossDoubted, KeyTableFull, HandedOver,
+		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, UpstreamLossDoubted,
+		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -122,6 +122,11 @@
 	}
 }
 
+// ServeConn serves a connection that another listener has accepted, until it is closed.
+func (s *Server) ServeConn(netConn net.Conn) {
+	s.addConn(netConn).serve()
+}
+
 // addConn registers a new connection. At the connection limit it closes idle
 // connections and marks the new one as over the limit.
 func (s *Server) addConn(netConn net.Conn) *conn {
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -61,7 +61,8 @@
 	idleTimeout  time.Duration
 	idleDeadline time.Time
 	// broken is set when the connection cannot be used again.
-	broken bool
+	broken   bool
+	openedAt time.Time
 	// lastResponseAt is when the upstream last completed a response on the
 	// connection.
 	lastResponseAt time.Time
@@ -71,6 +72,7 @@
 
 func newConn(netConn net.Conn, upstream magnolialedge.Registration, headers magnolialedge.HeaderProtocol, dialTime time.Duration) *Conn {
 	headLimit := limit.NewReader(netConn, errHeadTooLarge)
+	now := time.Now()
 	return &Conn{
 		Upstream:       upstream,
 		DialTime:       dialTime,
@@ -79,7 +81,8 @@
 		reader:         bufio.NewReaderSize(headLimit, readBufferBytes),
 		headers:        headers,
 		idleTimeout:    defaultIdleTimeout,
-		lastResponseAt: time.Now(),
+		openedAt:       now,
+		lastResponseAt: now,
 	}
 }
 
@@ -95,6 +98,11 @@
 	return c.lastResponseAt
 }
 
+// OpenedAt returns when the connection was opened.
+func (c *Conn) OpenedAt() time.Time {
+	return c.openedAt
+}
+
 func (c *Conn) isReusable() bool {
 	return !c.broken && c.reader.Buffered() == 0
 }
--- a/io/link/idle.go
+++ b/io/link/idle.go
@@ -1,7 +1,7 @@
 package link
 
 import (
-	"net"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
@@ -14,11 +14,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.netConn.(*net.TCPConn)
+	socket, ok := c.netConn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/io/node/announce.go
+++ b/io/node/announce.go
@@ -31,10 +31,10 @@
 type listing struct {
 	lease magnolialedge.Lease
 	// isWritten is set while the item is in the store, as far as this entry knows,
-	// and writtenLeaving is whether it says that the entry is leaving.
-	isWritten      bool
-	writtenLeaving bool
-	failures       int
+	// and written is what was last written, or was last to be.
+	isWritten bool
+	written   magnolialedge.Generation
+	failures  int
 	// waitsForStore is set if the last call failed because the store was away.
 	waitsForStore bool
 	// nextRefresh is the time of the next call.
@@ -50,15 +50,15 @@
 // announce keeps this entry listed in the store until ctx is done, then revokes
 // its lease.
 func (n *Node) announce(ctx context.Context) {
-	l := &listing{nextRefresh: time.Now()}
+	l := &listing{nextRefresh: time.Now(), written: memberGeneration(n.members.current())}
 	for ctx.Err() == nil {
 		n.observeStore(time.Now(), l)
-		leaving := n.isLeaving.Load()
-		if time.Now().Before(l.nextRefresh) && leaving == l.writtenLeaving {
+		self := n.members.current()
+		if time.Now().Before(l.nextRefresh) && memberGeneration(self) == l.written {
 			pause.Sleep(ctx, announcePollInterval)
 			continue
 		}
-		n.refreshListing(ctx, l, leaving)
+		n.refreshListing(ctx, l, self)
 	}
 	n.revokeListing(l.lease)
 }
@@ -70,7 +70,7 @@
 	}
 	if own, ok := n.members.consumeRestored(); ok {
 		next := now.Add(rand.N(restorationSpread(n.members.size())))
-		if n.isLeaving.Load() || !isListedAs(own, n.self(), l.lease) {
+		if !isListedAs(own, n.members.current(), l.lease) {
 			l.reset(next)
 		}
 		l.nextRefresh = next
@@ -96,23 +96,23 @@
 }
 
 // isListedAs reports whether a listed item is the one that this run of the entry
-// wrote under its lease. The store may have given the lease's ID to another entry.
+// wrote last under its lease. The store may have given the lease's ID to another entry.
 func isListedAs(item magnolialedge.Item, self magnolialedge.Instance, lease magnolialedge.Lease) bool {
 	in, ok := memberOf(item)
-	return ok && lease.ID != 0 && item.Lease == lease.ID && in.StartedAt == self.StartedAt
+	return ok && lease.ID != 0 && item.Lease == lease.ID && memberGeneration(in) == memberGeneration(self)
 }
 
 // refreshListing renews the lease or writes the item, and schedules the next call.
-func (n *Node) refreshListing(ctx context.Context, l *listing, leaving bool) {
+func (n *Node) refreshListing(ctx context.Context, l *listing, self magnolialedge.Instance) {
 	l.nextRefresh = time.Now().Add(n.leaseTiming().RenewInterval)
-	isCurrent := l.isWritten && leaving == l.writtenLeaving
-	err := n.callForListing(ctx, &l.lease, isCurrent)
+	isCurrent := l.isWritten && memberGeneration(self) == l.written
+	err := n.callForListing(ctx, &l.lease, self, isCurrent)
 	if errors.Is(err, magnolialedge.ErrLeaseEnded) {
 		l.reset(time.Now())
 		pause.Sleep(ctx, announcePollInterval)
 		return
 	}
-	l.writtenLeaving = leaving
+	l.written = memberGeneration(self)
 	if err != nil {
 		n.log.Log(event.AnnounceFailed, "err", err, "lease", l.lease.ID)
 		l.isWritten = isCurrent
@@ -132,7 +132,7 @@
 
 // callForListing opens a lease if there is none, and then renews it if the entry
 // is already written, or else writes the entry.
-func (n *Node) callForListing(ctx context.Context, lease *magnolialedge.Lease, isWritten bool) error {
+func (n *Node) callForListing(ctx context.Context, lease *magnolialedge.Lease, self magnolialedge.Instance, isWritten bool) error {
 	if lease.ID == 0 {
 		granted, err := n.store.Grant(ctx, n.leaseTiming().TTL)
 		if err != nil {
@@ -143,7 +143,7 @@
 	if isWritten {
 		return n.store.Renew(ctx, lease.ID)
 	}
-	value, err := json.Marshal(n.self())
+	value, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
--- a/io/node/cutoff_test.go
+++ b/io/node/cutoff_test.go
@@ -169,6 +169,9 @@
 			tc, cut, others := newCutCluster(t)
 			tc.routes = []string{routeJSON("reads", "/reads/", "safe", 4000, "svc")}
 			tc.putConfig()
+			for i := 5; i <= 8; i++ {
+				tc.addUpstream(fmt.Sprintf("u%d", i))
+			}
 			for _, u := range tc.upstreams {
 				u.SetSlowdown(5)
 			}
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -54,6 +54,7 @@
 		n.forwarder.RecordCrashReport(report.Fingerprint, report.Losses)
 		return c.NoContent(http.StatusNoContent)
 	})
+	e.GET(handoverPath, n.acceptHandovers)
 	e.POST(endReportPath, n.handleEndReport)
 	e.POST(limitReportPath, n.handleLimitReport)
 	e.POST(memberPath, func(c echo.Context) error {
@@ -92,7 +93,7 @@
 			Version:  n.forwarder.Version(),
 			Revision: n.follower.Revision(),
 			AgeMs:    n.follower.Staleness(time.Now()).Milliseconds(),
-			InFlight: n.callerServer.InFlight(),
+			InFlight: n.inFlight(),
 			Leaving:  n.isLeaving.Load(),
 			Members:  n.members.list(),
 		})
@@ -111,7 +112,7 @@
 // broadcastSelf notifies all other entries that this one has started or is
 // leaving. They also learn this from the store, unless it is unreachable.
 func (n *Node) broadcastSelf() {
-	n.broadcast(memberPath, n.self())
+	n.broadcast(memberPath, n.members.current())
 }
 
 // broadcast sends a message to all other entries without waiting for the result.
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
@@ -28,6 +29,10 @@
 	// the store's list while the store cannot be written.
 	selfReported map[string]magnolialedge.Instance
 	leaving      bool
+	// isolated is set while this entry reaches no upstream, and changes counts how often
+	// that changed.
+	isolated bool
+	changes  int64
 	// endedRuns maps an entry to the start time of its latest run that is known
 	// to have ended.
 	endedRuns map[string]int64
@@ -94,9 +99,9 @@
 
 // memberGeneration orders the states that an entry writes of itself.
 func memberGeneration(in magnolialedge.Instance) magnolialedge.Generation {
-	g := magnolialedge.Generation{Start: in.StartedAt}
+	g := magnolialedge.Generation{Start: in.StartedAt, Count: 2 * in.Changes}
 	if in.Leaving {
-		g.Count = 1
+		g.Count++
 	}
 	return g
 }
@@ -139,16 +144,37 @@
 	m.leaving = true
 }
 
+// setIsolated records whether this entry reaches no upstream.
+func (m *members) setIsolated(isolated bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.isolated != isolated {
+		m.isolated = isolated
+		m.changes++
+	}
+}
+
+// current returns what this entry says of itself now.
+func (m *members) current() magnolialedge.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentLocked()
+}
+
+func (m *members) currentLocked() magnolialedge.Instance {
+	self := m.self
+	self.Leaving, self.Isolated, self.Changes = m.leaving, m.isolated, m.changes
+	return self
+}
+
 // list returns all live entries, starting with the current state of this one.
 func (m *members) list() []magnolialedge.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	self := m.self
-	self.Leaving = m.leaving
-	out := []magnolialedge.Instance{self}
+	out := []magnolialedge.Instance{m.currentLocked()}
 	for name, in := range m.byName {
 		in = m.latest(in)
-		if name != self.Name && !m.hasEnded(in) {
+		if name != m.self.Name && !m.hasEnded(in) {
 			out = append(out, in)
 		}
 	}
@@ -248,13 +274,11 @@
 	return listed
 }
 
-// supersedes reports whether a describes a later run than b, or the same run now
-// leaving.
+// supersedes reports whether a describes a later run than b, or a later state of the
+// same run.
 func supersedes(a, b magnolialedge.Instance) bool {
-	if a.StartedAt != b.StartedAt {
-		return a.StartedAt > b.StartedAt
-	}
-	return a.Leaving && !b.Leaving
+	x, y := memberGeneration(a), memberGeneration(b)
+	return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.Count, y.Count)) > 0
 }
 
 // addresses returns the caller addresses that clients of a host at a place should
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -59,6 +59,10 @@
 	pool         *link.Pool
 	forwarder    *serve.Forwarder
 	callerServer *front.Server
+	// helperPool holds connections to the entries to which requests are handed over, and
+	// handedServer serves the requests that they hand over.
+	helperPool   *link.Pool
+	handedServer *front.Server
 	store        magnolialedge.Keyspace
 	peerClient   *http.Client
 	isLeaving    atomic.Bool
@@ -75,9 +79,15 @@
 	// callerFDRatio is the fraction of file descriptors that caller connections
 	// may use; the rest is for upstreams, the store and peers.
 	callerFDRatio = 0.5
+	// handedFDRatio is the same for the requests that other entries hand over, each of
+	// which needs a connection to that entry and one to an upstream.
+	handedFDRatio = 0.1
 	// bodyMemoryRatio is the fraction of memory that request bodies may use.
 	// While a body is being read, up to twice its size is in use.
 	bodyMemoryRatio = 0.2
+	// handedMemoryRatio is the fraction that the bodies of requests that other entries
+	// hand over may use.
+	handedMemoryRatio = 0.1
 	// crossZonePerKB and crossRegionPerKB are the wait that is considered as
 	// costly as sending one kilobyte to another zone or region.
 	// separateZonePerKB replaces crossZonePerKB in a zone that serves its own
@@ -107,7 +117,13 @@
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
+	n.helperPool = link.NewPool(link.PoolConfig{Dialer: handoverDialer{dialer: dialer}, Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
+		Name:       s.Name,
+		Helpers:    n.members.helpers,
+		HelperPool: n.helperPool,
+		MaxHanded:  int(float64(s.MaxFDs) * handedFDRatio),
+		OnIsolated: n.members.setIsolated,
 		Fleet: pick.NewFleet(pick.Config{
 			Zone:          s.Zone,
 			Regions:       s.Regions,
@@ -131,6 +147,11 @@
 		MaxConns:           int(float64(s.MaxFDs) * callerFDRatio),
 		MaxBodyMemoryBytes: int64(float64(s.MemoryMB) * (1 << 20) * bodyMemoryRatio),
 	})
+	n.handedServer = front.NewServer(front.Config{
+		Handler:            n.forwarder.HandedRequests(),
+		Log:                n.log,
+		MaxBodyMemoryBytes: int64(float64(s.MemoryMB) * (1 << 20) * handedMemoryRatio),
+	})
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "magnolialedge", Name: "store_calls_total", Help: "Calls to the platform's store.",
 	}, []string{"call"})
@@ -194,7 +215,6 @@
 		CallerAddress: n.settings.CallerAddress,
 		PeerAddress:   cmp.Or(n.settings.PeerAddress, net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort))),
 		StartedAt:     n.start.UnixMilli(),
-		Leaving:       n.isLeaving.Load(),
 		CapacityMbps:  n.settings.LinkMbps,
 	}
 }
@@ -210,6 +230,8 @@
 	}
 	n.log.Log(event.Started, "callers", n.settings.CallerAddress, "directory", n.settings.DirectoryAddress, "zone", n.settings.Zone, "region", n.settings.Region)
 	go n.pool.Run(workCtx)
+	go n.helperPool.Run(workCtx)
+	defer n.forwarder.Close()
 	go n.follower.Run(workCtx)
 	announced := make(chan struct{})
 	announceCtx, stopAnnouncing := context.WithCancel(workCtx)
@@ -228,7 +250,7 @@
 			n.stop(workCtx)
 			stopAnnouncing()
 			<-announced
-			n.log.Log(event.Stopped, "inFlight", n.callerServer.InFlight())
+			n.log.Log(event.Stopped, "inFlight", n.inFlight())
 			return nil
 		}
 	}
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -31,23 +31,30 @@
 	n.members.setLeaving()
 	n.broadcastSelf()
 	n.callerServer.DisableKeepAlives()
-	n.log.Log(event.Draining, "inFlight", n.callerServer.InFlight(), "connections", n.callerServer.Connections())
+	n.handedServer.DisableKeepAlives()
+	n.log.Log(event.Draining, "inFlight", n.inFlight(), "connections", n.callerServer.Connections())
 	deadline := start.Add(n.settings.StopTimeout - stopMargin)
 	for time.Now().Before(deadline) {
 		elapsed := time.Since(start)
 		if elapsed >= idleCloseDelay {
 			n.callerServer.CloseIdle()
+			n.handedServer.CloseIdle()
 		}
 		if elapsed >= minDrainTime {
 			_ = n.listeners[0].Close()
 			<-n.acceptEnded
-			if n.callerServer.InFlight() == 0 && n.callerServer.Connections() == 0 {
+			if n.inFlight() == 0 && n.callerServer.Connections() == 0 && n.handedServer.Connections() == 0 {
 				return
 			}
 		}
 		pause.Sleep(ctx, stopPollInterval)
 	}
-	if n.callerServer.InFlight() > 0 {
-		n.log.Log(event.StopForced, "inFlight", n.callerServer.InFlight())
+	if n.inFlight() > 0 {
+		n.log.Log(event.StopForced, "inFlight", n.inFlight())
 	}
 }
+
+// inFlight returns the number of requests in progress, from callers and other entries.
+func (n *Node) inFlight() int64 {
+	return n.callerServer.InFlight() + n.handedServer.InFlight()
+}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -22,6 +22,8 @@
 	summary attemptSummary
 	// stream is the unread remainder of a long response, or nil.
 	stream *responseStream
+	// declined is the reason for which another entry did not take the request, or empty.
+	declined magnolialedge.ErrorKind
 	// sent is set if the request may have reached the upstream.
 	sent bool
 	err  error
@@ -37,7 +39,10 @@
 	x.recordReport(p, start, r)
 	if r.response != nil && r.response.Stream != nil {
 		r.summary = x.summarize(p, "answered", elapsed)
-		r.stream = &responseStream{BodyStream: r.response.Stream, x: x, p: p, duration: elapsed}
+		r.stream = &responseStream{BodyStream: r.response.Stream, x: x, upstreamID: p.ID, release: func(status pick.AttemptStatus) {
+			x.f.endAttempt(p, x.pickReq, elapsed, status)
+			x.f.cfg.Pool.Put(p.conn)
+		}}
 		return r
 	}
 	r.summary = x.finishAttempt(ctx, p, r, elapsed)
@@ -52,7 +57,7 @@
 		Method:   x.req.Method,
 		Target:   x.req.Target,
 		Host:     x.req.Host,
-		Header:   endToEndHeaders(x.req.Header, "Expect", "Host", headers.RequestID, headers.Deadline, headers.ExpectedInstance),
+		Header:   endToEndHeaders(x.req.Header, "Expect", "Host", headers.RequestID, headers.Deadline, headers.ExpectedInstance, handoverHeader, declinedHeader),
 		Body:     x.req.Body,
 		HasBody:  x.req.HasBody || x.req.Method == http.MethodPost || x.req.Method == http.MethodPut,
 		TimeLeft: time.Until(x.deadline),
@@ -74,7 +79,7 @@
 	x.f.recordReport(p.Registration, sentAt, x.id, r.response.Report)
 	x.f.mu.Lock()
 	defer x.f.mu.Unlock()
-	x.f.fleet.RecordContact(time.Now(), p.ID)
+	x.f.recordContact(time.Now(), p.conn)
 	if r.response.HasLoad {
 		x.f.fleet.RecordLoad(time.Now(), p.ID, r.response.Reading)
 	}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
 	"magnolialedge/core/pick"
@@ -55,6 +56,16 @@
 	// which the request was rejected; shortage may be nil.
 	shortage *pick.Shortage
 	queued   int
+	// handover is set if another entry handed the request to this one.
+	handover *handover
+	// triedHandover is set once this entry has tried to hand the request over, and
+	// triedHelpers holds the entries that it handed the request to.
+	triedHandover bool
+	triedHelpers  []string
+	// unreached is the number of upstreams to which no connection could be opened.
+	unreached int
+	// isCounted is set once the request counts towards the retry budget.
+	isCounted bool
 	// truncated is set if the response ended before it was complete.
 	truncated bool
 }
@@ -72,19 +83,25 @@
 func (f *Forwarder) newExchange(r *front.Request) *exchange {
 	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Headers.RequestID)}
 	x.match, x.hasRouting, x.hasRoute = f.findRoute(r)
-	x.deadline = r.Arrived.Add(x.timeout())
+	x.setTimes(r.Arrived)
+	x.fingerprint = fingerprintOf(r)
+	return x
+}
+
+// setTimes sets the deadline and the request for picking of an exchange whose caller
+// sent the request at arrivedAt.
+func (x *exchange) setTimes(arrivedAt time.Time) {
+	x.deadline = x.req.Arrived.Add(x.timeout())
 	x.pickReq = pick.Request{
 		Service:       x.match.Service.Name,
 		Route:         x.match.Name,
 		Idempotent:    x.match.Kind.IsIdempotent(),
 		Priority:      x.match.Priority,
-		SoftDeadline:  r.Arrived.Add(x.match.LatencyTarget()),
+		SoftDeadline:  arrivedAt.Add(x.match.LatencyTarget()),
 		LatencyTarget: x.match.LatencyTarget(),
 		Deadline:      x.deadline,
-		BodyBytes:     int64(len(r.Body)),
+		BodyBytes:     int64(len(x.req.Body)),
 	}
-	x.fingerprint = fingerprintOf(r)
-	return x
 }
 
 // timeout returns the shortest of the caller's, the route's and the default
@@ -124,10 +141,21 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	x.f.depositRetry(x.pickReq.Service)
+	if x.mayHandOver() && !x.f.allowsDirect(x.pickReq.Service) {
+		if resp := x.handOver(ctx); resp != nil {
+			return resp
+		}
+	}
+	x.count()
 	for {
 		x.attemptCount++
 		p, kind := x.pickUpstream(ctx)
+		if p == nil && x.isUnreached(kind) {
+			if resp := x.handOver(ctx); resp != nil {
+				return resp
+			}
+			p, kind = x.pickUpstream(ctx)
+		}
 		if p == nil {
 			return x.fail(ctx, kind)
 		}
@@ -138,6 +166,24 @@
 	}
 }
 
+// count counts the request towards the retry budget, once at all entries together.
+func (x *exchange) count() {
+	if x.isCounted {
+		return
+	}
+	x.isCounted = true
+	x.f.depositRetry(x.pickReq.Service)
+}
+
+// isUnreached reports whether the request may be handed over because this entry found no
+// upstream that it reaches.
+func (x *exchange) isUnreached(kind magnolialedge.ErrorKind) bool {
+	if kind != magnolialedge.KindNoUpstream || !x.mayHandOver() {
+		return false
+	}
+	return x.unreached > 0 || x.f.hasUnreachable(x.pickReq.Service)
+}
+
 func (f *Forwarder) quarantinedFor(fingerprint uint64) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -155,6 +201,9 @@
 func (x *exchange) pickUpstream(ctx context.Context) (*placement, magnolialedge.ErrorKind) {
 	f := x.f
 	for ctx.Err() == nil {
+		if x.shouldHandOver() {
+			return nil, magnolialedge.KindNoUpstream
+		}
 		f.mu.Lock()
 		candidates, available := f.fleet.Candidates(time.Now(), x.pickReq, maxCandidates)
 		f.mu.Unlock()
@@ -220,7 +269,13 @@
 // attempt, marks the upstream as unreachable and returns nil.
 func (x *exchange) connectPlacement(ctx context.Context, p *placement) *placement {
 	c, err := x.f.connect(ctx, p.Candidate, !x.pickReq.Idempotent, x.match.Service.HealthPath)
-	if err != nil {
+	switch {
+	case err == nil:
+	case errors.Is(ctx.Err(), context.Canceled):
+		x.f.endAttempt(p, x.pickReq, 0, pick.AttemptCanceled)
+		return nil
+	default:
+		x.unreached++
 		x.summaries = append(x.summaries, x.summarize(p, "unreached", 0))
 		x.f.endAttempt(p, x.pickReq, 0, pick.AttemptConnectFailed)
 		x.f.markUnreachable(p.Registration, err)
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -10,6 +10,7 @@
 	"magnolialedge"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
+	"magnolialedge/core/reach"
 	"magnolialedge/core/route"
 	"magnolialedge/io/event"
 	"magnolialedge/io/front"
@@ -27,6 +28,19 @@
 	Retries proc.RetryLimits
 	// Probes limits the load probes of all entries together.
 	Probes proc.ProbeLimits
+	// Name is the name of this entry.
+	Name string
+	// Helpers returns the entries that may serve requests of a host in place of this
+	// one, best first. If it is nil, no request is handed over.
+	Helpers func(now time.Time, host string) []magnolialedge.Instance
+	// HelperPool holds the connections to these entries.
+	HelperPool *link.Pool
+	// MaxHanded limits the requests in progress that other entries handed to this one;
+	// 0 means no limit.
+	MaxHanded int
+	// OnIsolated is called when this entry begins or ceases to reach no upstream. It must
+	// not block.
+	OnIsolated func(bool)
 	// ReportCrash notifies the other entries that a request crashed upstreams.
 	ReportCrash func(fingerprint uint64, losses int)
 	// ReportLimit notifies the other entries that an upstream begins or ceases to announce
@@ -50,6 +64,14 @@
 	entryCount  int
 	probeBudget *proc.ProbeBudget
 	quarantine  *proc.Quarantine
+	// reach tracks the links to the upstreams, and helpers the requests that are handed
+	// over. isIsolated is the last announced value.
+	reach      *reach.Tracker
+	helpers    *reach.Helpers
+	isIsolated bool
+	// handedCount is the number of requests in progress that other entries handed over.
+	handedCount int
+	closed      bool
 	// pendingProbes holds the probes in progress by upstream ID; each channel is
 	// closed when its probe ends.
 	pendingProbes map[string]chan struct{}
@@ -67,6 +89,8 @@
 		retryBudgets:  map[string]*proc.RatioBudget{},
 		probeBudget:   proc.NewProbeBudget(cfg.Probes, time.Now()),
 		quarantine:    proc.NewQuarantine(),
+		reach:         reach.NewTracker(),
+		helpers:       reach.NewHelpers(),
 		pendingProbes: map[string]chan struct{}{},
 
 		invalidNoticeLoggedAt: map[string]time.Time{},
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -41,6 +41,11 @@
 			if hedged || running == 0 {
 				continue
 			}
+			if x.startRescue(ctx, results) {
+				hedged = true
+				running++
+				continue
+			}
 			second := x.hedge(ctx, pick.RunningAttempt{Candidate: p.Candidate, Elapsed: time.Since(start)})
 			if second != nil {
 				hedged = true
@@ -51,6 +56,28 @@
 	}
 }
 
+// startRescue hands the request to another entry as well if this entry has lost its links
+// to the upstreams since it sent the request, and reports whether it did. The result of
+// that is added to results.
+func (x *exchange) startRescue(ctx context.Context, results chan<- attemptResult) bool {
+	if !x.mayHandOver() || !x.f.isLost(x.pickReq.Service) || x.sentAttempts+2 > max(1, x.match.MaxAttempts) {
+		return false
+	}
+	helper, ok, _ := x.f.pickHelper(x)
+	if !ok {
+		return false
+	}
+	if !x.f.withdrawRetry(x.pickReq.Service) {
+		x.f.endHandover(helper, x.pickReq.Service, false)
+		return false
+	}
+	x.triedHandover = true
+	req := x.handoverRequest()
+	x.f.cfg.Log.Log(event.SecondAttempt, "requestId", x.id, "service", x.pickReq.Service, "to", helperIDPrefix+helper.Name)
+	go func() { results <- x.handTo(ctx, helper, req) }()
+	return true
+}
+
 // discardResults waits for the remaining attempts and closes their response
 // streams.
 func discardResults(results <-chan attemptResult, running int) {
--- a/io/serve/metrics.go
+++ b/io/serve/metrics.go
@@ -15,6 +15,8 @@
 	QueueWait   prometheus.Histogram
 	ConnsOpened prometheus.Counter
 	Probes      prometheus.Counter
+	// Handovers counts the requests that were handed to other entries.
+	Handovers *prometheus.CounterVec
 	// ProbesSkipped counts probes that the probe budget did not allow.
 	ProbesSkipped prometheus.Counter
 }
@@ -30,6 +32,10 @@
 			Namespace: "magnolialedge", Name: "routed_attempts_total",
 			Help: "Attempts by service and how they ended.",
 		}, []string{"service", "end"}),
+		Handovers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "magnolialedge", Name: "handovers_total",
+			Help: "Requests handed to other entries, by service and how that ended.",
+		}, []string{"service", "end"}),
 		Latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "magnolialedge", Name: "routed_request_seconds",
 			Help:    "Time from a request's head to its answer.",
@@ -53,7 +59,7 @@
 			Help: "Readings that the budget of readings did not allow.",
 		}),
 	}
-	r.MustRegister(m.Requests, m.Attempts, m.Latency, m.QueueWait, m.ConnsOpened, m.Probes, m.ProbesSkipped)
+	r.MustRegister(m.Requests, m.Attempts, m.Latency, m.QueueWait, m.ConnsOpened, m.Probes, m.ProbesSkipped, m.Handovers)
 	return m
 }
 
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -146,7 +146,7 @@
 	f.recordReport(c.Upstream, sentAt, "", report)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fleet.RecordContact(time.Now(), c.Upstream.ID)
+	f.recordContact(time.Now(), c)
 	if report.HasLoad {
 		f.fleet.RecordLoad(time.Now(), c.Upstream.ID, report.Reading)
 	} else {
@@ -165,7 +165,11 @@
 // and logs err if the upstream was reachable before.
 func (f *Forwarder) markUnreachable(r magnolialedge.Registration, err error) {
 	f.mu.Lock()
-	isNew := f.fleet.MarkUnreachable(time.Now(), r.ID)
+	now := time.Now()
+	isNew := f.fleet.MarkUnreachable(now, r.ID)
+	if !errors.Is(err, link.ErrWrongInstance) {
+		f.recordFailure(now, r)
+	}
 	f.mu.Unlock()
 	f.cfg.Pool.CloseIdle(r.ID)
 	if isNew {
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -38,6 +38,9 @@
 		"retryAfter", resp.Header.Get("Retry-After"),
 		"attempts", x.attemptsText(),
 	}
+	if x.handover != nil {
+		fields = append(fields, "handedBy", x.handover.From, "handedRouting", x.handover.Version)
+	}
 	x.f.cfg.Log.Log(event.RequestServed, append(fields, x.shortageFields()...)...)
 }
 
--- a/io/serve/stream.go
+++ b/io/serve/stream.go
@@ -1,8 +1,6 @@
 package serve
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge/core/pick"
@@ -16,9 +14,10 @@
 type responseStream struct {
 	*link.BodyStream
 	x *exchange
-	p *placement
-	// duration is the time until the response began.
-	duration time.Duration
+	// upstreamID is the ID of the upstream, or of the entry, that sends the response.
+	upstreamID string
+	// release records the end of the attempt and releases its connection.
+	release  func(pick.AttemptStatus)
 	response *front.Response
 }
 
@@ -38,17 +37,15 @@
 }
 
 func (s *responseStream) end() error {
-	f := s.x.f
 	err := s.BodyStream.Close()
 	switch {
 	case err == nil:
-		f.endAttempt(s.p, s.x.pickReq, s.duration, pick.AttemptSucceeded)
+		s.release(pick.AttemptSucceeded)
 	case errors.Is(err, link.ErrStreamClosed):
-		f.endAttempt(s.p, s.x.pickReq, s.duration, pick.AttemptCanceled)
+		s.release(pick.AttemptCanceled)
 	default:
-		f.endAttempt(s.p, s.x.pickReq, s.duration, pick.AttemptFailed)
-		f.cfg.Log.Log(event.UpstreamLost, "service", s.x.pickReq.Service, "upstream", s.p.ID, "requestId", s.x.id, "err", err)
+		s.release(pick.AttemptFailed)
+		s.x.f.cfg.Log.Log(event.UpstreamLost, "service", s.x.pickReq.Service, "upstream", s.upstreamID, "requestId", s.x.id, "err", err)
 	}
-	f.cfg.Pool.Put(s.p.conn)
 	return err
 }
--- a/store.go
+++ b/store.go
@@ -45,6 +45,10 @@
 	// with the same addresses.
 	StartedAt int64 `json:"startedAt,omitempty"`
 	Leaving   bool  `json:"leaving,omitempty"`
+	// Isolated is set while the instance reaches no upstream. It still serves requests,
+	// over other instances. Changes counts how often that changed since StartedAt.
+	Isolated bool  `json:"isolated,omitempty"`
+	Changes  int64 `json:"changes,omitempty"`
 	// CapacityMbps is the bandwidth of the instance's network link in Mbit/s,
 	// or 0 if it is unknown.
 	CapacityMbps float64 `json:"capacity,omitempty"`
