Ask another entry before a lost upstream counts as crashed

Evidence: TestEntryThatLosesItsLinksQuarantinesNoRequest, new case resetSome failed (a crash recorded). Change: besides the witness near by, another entry must not reach the upstream either, if one can tell (POST /v1/check, two entries at most, 600 ms). Losses of one upstream at the same time share one check. Ruled out: the number of unreachable upstreams at that moment (30 ms after the loss few are known).

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -46,7 +46,7 @@
 	UpstreamLimitEnded    = Event{3109, "upstreamLimitEnded", Info, "An upstream no longer announces a limit."}
 	UpstreamNoticeInvalid = Event{3110, "upstreamNoticeInvalid", Warning, "A response of an upstream has a header about further requests that cannot be used; the response is passed on. At most one line a minute and upstream."}
 	UpstreamPaused        = Event{3111, "upstreamPaused", Warning, "An upstream refused a request and asked this entry to back off for some time."}
-	UpstreamLossDoubted   = Event{3112, "upstreamLossDoubted", Warning, "An upstream could not be reached after its connection had broken during a request, but neither could upstreams near it; the loss is not counted for the request."}
+	UpstreamLossDoubted   = Event{3112, "upstreamLossDoubted", Warning, "An upstream could not be reached after its connection had broken during a request, but neither could upstreams near it, or another entry reaches it; the loss is not counted for a request."}
 	UpstreamsLost         = Event{3113, "upstreamsLost", Warning, "This entry reaches none of several upstreams of a service; its requests are handed to other entries."}
 	UpstreamsReturning    = Event{3114, "upstreamsReturning", Info, "Upstreams of a service can be reached again; requests return to them by degrees."}
 	IsolationChanged      = Event{3115, "isolationChanged", Warning, "This entry reaches no upstream of any service, or reaches one again; callers are steered to others meanwhile."}
--- a/io/node/cutoff_test.go
+++ b/io/node/cutoff_test.go
@@ -109,9 +109,14 @@
 	return tc, tc.entries[:2], tc.entries[2:]
 }
 
-func setPartition(entries []*testEntry, mode stand.PartitionMode) {
+// setPartition cuts entries off from the given upstreams, or from all if there are none.
+func setPartition(entries []*testEntry, mode stand.PartitionMode, upstreams ...*stand.Upstream) {
+	var addresses []string
+	for _, u := range upstreams {
+		addresses = append(addresses, u.Address())
+	}
 	for _, e := range entries {
-		e.partition.Set(mode)
+		e.partition.Set(mode, addresses...)
 	}
 }
 
@@ -158,12 +163,18 @@
 	}
 }
 
-// Guards against an entry that loses its own links taking the losses for crashes that a
-// popular request caused, so that all entries refuse the request.
+// Guards against an entry that loses its own links, to all upstreams or to most, taking
+// the losses for crashes that a popular request caused, so that all entries refuse it.
 func TestEntryThatLosesItsLinksQuarantinesNoRequest(t *testing.T) {
-	for name, mode := range map[string]stand.PartitionMode{
-		"hang":  stand.PartitionHang,
-		"reset": stand.PartitionReset,
+	for name, c := range map[string]struct {
+		mode stand.PartitionMode
+		// reached is the number of upstreams that the entries still reach.
+		reached int
+	}{
+		"hang":      {mode: stand.PartitionHang},
+		"reset":     {mode: stand.PartitionReset},
+		"hangSome":  {mode: stand.PartitionHang, reached: 2},
+		"resetSome": {mode: stand.PartitionReset, reached: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tc, cut, others := newCutCluster(t)
@@ -178,7 +189,7 @@
 			sent := tc.startAttempts(func(int) string { return "/reads/popular" })
 			time.Sleep(time.Second)
 			begun := time.Now()
-			setPartition(cut, mode)
+			setPartition(cut, c.mode, tc.upstreams[c.reached:]...)
 			time.Sleep(4 * time.Second)
 			setPartition(cut, stand.PartitionNone)
 			time.Sleep(5 * time.Second)
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -54,6 +54,7 @@
 		n.forwarder.RecordCrashReport(report.Fingerprint, report.Losses)
 		return c.NoContent(http.StatusNoContent)
 	})
+	e.POST(peerCheckPath, n.handlePeerCheck)
 	e.GET(handoverPath, n.acceptHandovers)
 	e.POST(endReportPath, n.handleEndReport)
 	e.POST(limitReportPath, n.handleLimitReport)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -124,6 +124,7 @@
 		HelperPool: n.helperPool,
 		MaxHanded:  int(float64(s.MaxFDs) * handedFDRatio),
 		OnIsolated: n.members.setIsolated,
+		AskPeer:    n.askPeer,
 		Fleet: pick.NewFleet(pick.Config{
 			Zone:          s.Zone,
 			Regions:       s.Regions,
--- a/io/serve/crash.go
+++ b/io/serve/crash.go
@@ -18,29 +18,86 @@
 	// crashWitnesses is the number of neighbors of a lost upstream that are tried until
 	// one responds.
 	crashWitnesses = 2
+	// peerCheckTimeout limits asking another entry whether it reaches an upstream.
+	peerCheckTimeout = 600 * time.Millisecond
 )
 
 // checkCrash records that a request crashed an upstream if the upstream that lost the
-// request is no longer reachable although one of its neighbors is, and reports it to the
-// other entries. Without such a witness the links of this entry may be at fault, and the
-// request must not be blamed.
+// request is no longer reachable, and reports it to the other entries. Losses of one
+// upstream at the same time share one check.
 func (f *Forwarder) checkCrash(r magnolialedge.Registration, fingerprint uint64, healthPath string) {
+	f.mu.Lock()
+	waiting, isChecked := f.crashChecks[r.ID]
+	f.crashChecks[r.ID] = append(waiting, fingerprint)
+	f.mu.Unlock()
+	if isChecked {
+		return
+	}
 	time.Sleep(crashCheckDelay)
+	crashed, witness := f.hasCrashed(r, healthPath)
+	f.mu.Lock()
+	fingerprints := f.crashChecks[r.ID]
+	delete(f.crashChecks, r.ID)
+	f.mu.Unlock()
+	if !crashed {
+		return
+	}
+	for _, fingerprint := range fingerprints {
+		f.recordCrash(r, fingerprint, witness)
+	}
+}
+
+func (f *Forwarder) recordCrash(r magnolialedge.Registration, fingerprint uint64, witness string) {
+	f.mu.Lock()
+	losses := f.quarantine.RecordLoss(time.Now(), fingerprint)
+	f.mu.Unlock()
+	f.cfg.Log.Log(event.UpstreamCrashed, "upstream", r.ID, "fingerprint", fingerprint, "losses", losses, "witness", witness)
+	f.cfg.ReportCrash(fingerprint, losses)
+}
+
+// hasCrashed reports whether an upstream that lost a connection is down. This entry must
+// not reach it although it reaches a neighbor of it, and another entry must not reach it
+// either, if one can tell: the links of this entry may be at fault, wholly or in part, and
+// no request must be blamed for that.
+func (f *Forwarder) hasCrashed(r magnolialedge.Registration, healthPath string) (crashed bool, witness string) {
 	err := f.checkNewConn(r, healthPath)
 	if err == nil || errors.Is(err, link.ErrWrongInstance) {
-		return
+		return false, ""
 	}
 	f.markUnreachable(r, err)
-	witness, ok := f.findWitness(r, healthPath)
+	neighbor, ok := f.findWitness(r, healthPath)
 	if !ok {
-		f.cfg.Log.Log(event.UpstreamLossDoubted, "upstream", r.ID, "service", r.Service, "fingerprint", fingerprint, "err", err)
-		return
+		f.cfg.Log.Log(event.UpstreamLossDoubted, "upstream", r.ID, "service", r.Service, "err", err)
+		return false, ""
+	}
+	if peer, reached := f.askPeer(r.ID); reached {
+		f.cfg.Log.Log(event.UpstreamLossDoubted, "upstream", r.ID, "service", r.Service, "reachedBy", peer, "err", err)
+		return false, ""
+	}
+	return true, neighbor.ID
+}
+
+// askPeer asks another entry whether it reaches an upstream, and returns its name.
+func (f *Forwarder) askPeer(upstreamID string) (peer string, reached bool) {
+	if f.cfg.AskPeer == nil {
+		return "", false
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerCheckTimeout)
+	defer cancel()
+	return f.cfg.AskPeer(ctx, upstreamID)
+}
+
+// CheckUpstream checks for another entry whether this one reaches an upstream over a new
+// connection. known is false if this entry cannot tell.
+func (f *Forwarder) CheckUpstream(id string) (reached, known bool) {
 	f.mu.Lock()
-	losses := f.quarantine.RecordLoss(time.Now(), fingerprint)
+	r, ok := f.fleet.Find(id)
 	f.mu.Unlock()
-	f.cfg.Log.Log(event.UpstreamCrashed, "upstream", r.ID, "fingerprint", fingerprint, "losses", losses, "witness", witness.ID)
-	f.cfg.ReportCrash(fingerprint, losses)
+	if !ok || f.isLost(r.Service) || !f.spendProbe() {
+		return false, false
+	}
+	err := f.checkNewConn(r, f.healthPathOf(r.Service, "/"))
+	return err == nil, !errors.Is(err, link.ErrWrongInstance)
 }
 
 // findWitness returns a neighbor of an upstream that accepts a new connection and
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -201,7 +201,7 @@
 func (x *exchange) pickUpstream(ctx context.Context) (*placement, magnolialedge.ErrorKind) {
 	f := x.f
 	for ctx.Err() == nil {
-		if x.shouldHandOver() {
+		if x.shouldHandOver() || x.shouldPassBack() {
 			return nil, magnolialedge.KindNoUpstream
 		}
 		f.mu.Lock()
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -41,6 +41,9 @@
 	// OnIsolated is called when this entry begins or ceases to reach no upstream. It must
 	// not block.
 	OnIsolated func(bool)
+	// AskPeer asks another entry whether it reaches an upstream, and returns its name. It
+	// may be nil.
+	AskPeer func(ctx context.Context, upstreamID string) (peer string, reached bool)
 	// ReportCrash notifies the other entries that a request crashed upstreams.
 	ReportCrash func(fingerprint uint64, losses int)
 	// ReportLimit notifies the other entries that an upstream begins or ceases to announce
@@ -72,6 +75,9 @@
 	// handedCount is the number of requests in progress that other entries handed over.
 	handedCount int
 	closed      bool
+	// crashChecks holds the fingerprints of the requests that were lost at an upstream
+	// whose check is in progress, by its ID.
+	crashChecks map[string][]uint64
 	// pendingProbes holds the probes in progress by upstream ID; each channel is
 	// closed when its probe ends.
 	pendingProbes map[string]chan struct{}
@@ -91,6 +97,7 @@
 		quarantine:    proc.NewQuarantine(),
 		reach:         reach.NewTracker(),
 		helpers:       reach.NewHelpers(),
+		crashChecks:   map[string][]uint64{},
 		pendingProbes: map[string]chan struct{}{},
 
 		invalidNoticeLoggedAt: map[string]time.Time{},
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -66,6 +66,12 @@
 	return x.mayHandOver() && (x.unreached >= unreachedToHandOver || x.f.isLost(x.pickReq.Service))
 }
 
+// shouldPassBack reports whether a request that another entry handed over is passed back,
+// because this one does not reach the upstreams either.
+func (x *exchange) shouldPassBack() bool {
+	return x.handover != nil && x.unreached >= unreachedToHandOver && x.sentAttempts == x.handover.Attempts
+}
+
 // handOver hands the request to another entry and returns the response for the caller. It
 // returns nil if no entry took the request and this entry may try itself.
 func (x *exchange) handOver(ctx context.Context) *front.Response {
