Blame no request that an upstream has answered a short time ago

Cause: two losses of a fingerprint quarantine it for all, whatever else went on: two requests of a popular read in flight at one upstream that went down were two losses, and so was one at each of two that went down for another reason.

--- a/core/proc/quarantine.go
+++ b/core/proc/quarantine.go
@@ -22,7 +22,8 @@
 // Quarantine counts the upstreams that were lost while they executed a request,
 // by the fingerprint of the request. It is not safe for concurrent use.
 type Quarantine struct {
-	suspects map[uint64]suspect
+	suspects  map[uint64]suspect
+	innocents innocents
 }
 
 // NewQuarantine returns an empty Quarantine.
@@ -30,9 +31,20 @@
 	return &Quarantine{suspects: map[uint64]suspect{}}
 }
 
+// RecordAnswer records that an upstream executed the request and answered it, which
+// clears the request of earlier losses and of those within innocenceTTL: upstreams go
+// down for other reasons, too, and a popular request is often in flight there.
+func (q *Quarantine) RecordAnswer(now time.Time, fingerprint uint64) {
+	delete(q.suspects, fingerprint)
+	q.innocents.add(now, fingerprint)
+}
+
 // RecordLoss counts one upstream lost to the request and returns the number of
-// losses.
+// losses. It is 0 for a request that an upstream has answered a short time ago.
 func (q *Quarantine) RecordLoss(now time.Time, fingerprint uint64) int {
+	if q.innocents.contains(now, fingerprint) {
+		return 0
+	}
 	s := q.get(now, fingerprint)
 	return q.set(now, fingerprint, s.losses+1)
 }
@@ -40,7 +52,7 @@
 // RecordPeerLosses records the number of losses reported by a peer if it is
 // higher than the known number, and reports whether it was.
 func (q *Quarantine) RecordPeerLosses(now time.Time, fingerprint uint64, losses int) bool {
-	if losses <= q.get(now, fingerprint).losses {
+	if losses <= q.get(now, fingerprint).losses || q.innocents.contains(now, fingerprint) {
 		return false
 	}
 	q.set(now, fingerprint, losses)
--- /dev/null
+++ b/core/proc/quarantine_test.go
@@ -0,0 +1,45 @@
+package proc
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func quarantined(q *Quarantine, now time.Time, fingerprint uint64) bool {
+	_, refused := q.Remaining(now, fingerprint)
+	return refused
+}
+
+func TestQuarantineAfterTwoLosses(t *testing.T) {
+	q := NewQuarantine()
+	now := time.Unix(1000, 0)
+	require.Equal(t, 1, q.RecordLoss(now, 7))
+	require.False(t, quarantined(q, now, 7))
+	require.Equal(t, 2, q.RecordLoss(now, 7))
+	require.True(t, quarantined(q, now, 7))
+	require.False(t, quarantined(q, now.Add(QuarantineTTL), 7))
+}
+
+func TestAnsweredRequestIsNotBlamed(t *testing.T) {
+	q := NewQuarantine()
+	now := time.Unix(1000, 0)
+	q.RecordAnswer(now, 7)
+	require.Zero(t, q.RecordLoss(now.Add(time.Second), 7))
+	require.False(t, q.RecordPeerLosses(now.Add(time.Second), 7, 2))
+	require.False(t, quarantined(q, now.Add(time.Second), 7))
+	require.Equal(t, 1, q.RecordLoss(now.Add(innocenceTTL+time.Second), 7), "later losses count")
+	q.RecordAnswer(now.Add(innocenceTTL+2*time.Second), 7)
+	require.Zero(t, q.Losses(now.Add(innocenceTTL+2*time.Second), 7))
+	require.Equal(t, 1, q.RecordLoss(now, 8), "other requests are not affected")
+}
+
+func TestInnocentsAreBounded(t *testing.T) {
+	q := NewQuarantine()
+	now := time.Unix(1000, 0)
+	for i := range uint64(3 * maxInnocents) {
+		q.RecordAnswer(now, i)
+	}
+	require.Len(t, q.innocents.recent, maxInnocents)
+}
--- a/io/serve/crash.go
+++ b/io/serve/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,7 +43,8 @@
 	if !crashed {
 		return
 	}
-	for _, fingerprint := range fingerprints {
+	slices.Sort(fingerprints)
+	for _, fingerprint := range slices.Compact(fingerprints) {
 		f.recordCrash(r, fingerprint, witness)
 	}
 }
@@ -52,7 +54,9 @@
 	losses := f.quarantine.RecordLoss(time.Now(), fingerprint)
 	f.mu.Unlock()
 	f.cfg.Log.Log(event.UpstreamCrashed, "upstream", r.ID, "fingerprint", fingerprint, "losses", losses, "witness", witness)
-	f.cfg.ReportCrash(fingerprint, losses)
+	if losses > 0 {
+		f.cfg.ReportCrash(fingerprint, losses)
+	}
 }
 
 // hasCrashed reports whether an upstream that lost a connection is down. This entry must
