Probe lost services until they are reached, not only until requests return

Cause: an entry that reaches no upstream is left out of resolve responses; without requests nothing ended its isolation once its links were back, since the probes ended when requests might return. Change: the probes go on until the service is reached; one loop a service. ReturnUnproven keeps its own time.

--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -30,6 +30,9 @@
 	minLossTime = 400 * time.Millisecond
 	maxLossTime = 6 * time.Second
 	stableTime  = 10 * time.Second
+	// unprovenReturnTime is the time after which requests return to a service of which no
+	// upstream may be probed.
+	unprovenReturnTime = 2 * time.Second
 	// returnTime is the time over which requests return by degrees, and firstReturnShare
 	// the share that returns at once.
 	returnTime       = time.Second
@@ -226,12 +229,18 @@
 	return t.beginReturn(now, u.Service), true
 }
 
-// ReturnUnproven lets requests return to a service that cannot be probed.
+// ReturnUnproven lets requests return, some time after the loss, to a service that cannot
+// be probed.
 func (t *Tracker) ReturnUnproven(now time.Time, name string) (Change, bool) {
-	if t.StateAt(now, name) != Lost {
-		return Change{}, false
+	switch t.StateAt(now, name) {
+	case Lost:
+		if now.Sub(t.services[name].changedAt) >= unprovenReturnTime {
+			return t.beginReturn(now, name), true
+		}
+	case Reached:
+		t.isIsolated = false
 	}
-	return t.beginReturn(now, name), true
+	return Change{}, false
 }
 
 func (t *Tracker) beginReturn(now time.Time, name string) Change {
--- a/core/reach/tracker_test.go
+++ b/core/reach/tracker_test.go
@@ -136,11 +136,17 @@
 func TestServiceThatCannotBeProbedReturnsUnproven(t *testing.T) {
 	tr := NewTracker()
 	loseAll(tr, at(0), 4, "a")
+	_, changed := tr.ReturnUnproven(at(1900), "a")
+	require.False(t, changed)
 	c, changed := tr.ReturnUnproven(at(2000), "a")
 	require.True(t, changed)
 	require.Equal(t, Returning, c.State)
 	_, changed = tr.ReturnUnproven(at(2001), "a")
 	require.False(t, changed)
+	require.True(t, tr.IsIsolated())
+	_, changed = tr.ReturnUnproven(at(3100), "a")
+	require.False(t, changed)
+	require.False(t, tr.IsIsolated())
 }
 
 func TestSilentServiceStaysReached(t *testing.T) {
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -72,6 +72,8 @@
 	reach      *reach.Tracker
 	helpers    *reach.Helpers
 	isIsolated bool
+	// lossProbes holds the services for which probeUntilReached runs.
+	lossProbes map[string]bool
 	// handedCount is the number of requests in progress that other entries handed over.
 	handedCount int
 	closed      bool
@@ -97,6 +99,7 @@
 		quarantine:    proc.NewQuarantine(),
 		reach:         reach.NewTracker(),
 		helpers:       reach.NewHelpers(),
+		lossProbes:    map[string]bool{},
 		crashChecks:   map[string][]uint64{},
 		pendingProbes: map[string]chan struct{}{},
 
--- a/io/serve/reach.go
+++ b/io/serve/reach.go
@@ -17,9 +17,6 @@
 	lossProbeInterval = 500 * time.Millisecond
 	// confirmProbeInterval is the time between two probes once an upstream responds.
 	confirmProbeInterval = 100 * time.Millisecond
-	// unprovenReturnTime is the time after which requests return to a service of which no
-	// upstream may be probed.
-	unprovenReturnTime = 2 * time.Second
 )
 
 // isLost reports whether the links to the upstreams of a service are lost.
@@ -78,7 +75,10 @@
 		if q, ok := f.queues[c.Service]; ok {
 			q.WakeAll()
 		}
-		go f.probeUntilReached(c.Service)
+		if !f.lossProbes[c.Service] {
+			f.lossProbes[c.Service] = true
+			go f.probeUntilReached(c.Service)
+		}
 	case reach.Returning:
 		f.cfg.Log.Log(event.UpstreamsReturning, fields...)
 		f.fleet.ForgiveFailures(c.Service)
@@ -112,13 +112,13 @@
 }
 
 // probeUntilReached probes the upstreams of a service, one at a time, over new
-// connections, until its links no longer count as lost.
+// connections, until the service is reached again. Requests may not show it, since callers
+// are steered to other entries.
 func (f *Forwarder) probeUntilReached(service string) {
-	lostAt := time.Now()
 	interval := lossProbeInterval
 	for attempt := 0; ; attempt++ {
 		time.Sleep(interval/2 + rand.N(interval))
-		r, state := f.nextLossProbe(time.Now(), service, attempt, lostAt)
+		r, state := f.nextLossProbe(time.Now(), service, attempt)
 		switch state {
 		case probeEnded:
 			return
@@ -126,10 +126,12 @@
 			continue
 		}
 		err := f.checkNewConn(r, f.healthPathOf(service, "/"))
-		interval = confirmProbeInterval
-		if err != nil {
-			interval = lossProbeInterval
+		interval = lossProbeInterval
+		switch {
+		case err != nil:
 			f.markUnreachable(r, err)
+		case f.isLost(service):
+			interval = confirmProbeInterval
 		}
 	}
 }
@@ -144,21 +146,21 @@
 )
 
 // nextLossProbe returns the upstream to probe.
-func (f *Forwarder) nextLossProbe(now time.Time, service string, attempt int, lostAt time.Time) (magnolialedge.Registration, lossProbe) {
+func (f *Forwarder) nextLossProbe(now time.Time, service string, attempt int) (magnolialedge.Registration, lossProbe) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed || f.reach.StateAt(now, service) != reach.Lost {
+	isReached := f.reach.StateAt(now, service) == reach.Reached && !f.reach.IsIsolated()
+	if f.closed || isReached {
+		delete(f.lossProbes, service)
 		return magnolialedge.Registration{}, probeEnded
 	}
 	r, ok := f.fleet.LossProbeTarget(now, service, attempt%2 == 0)
 	if !ok {
-		if now.Sub(lostAt) < unprovenReturnTime {
-			return r, probeSkipped
-		}
 		if change, changed := f.reach.ReturnUnproven(now, service); changed {
 			f.applyReachChange(change)
 		}
-		return r, probeEnded
+		f.announceIsolation()
+		return r, probeSkipped
 	}
 	if !f.probeBudget.Spend(now) {
 		f.cfg.Metrics.ProbesSkipped.Inc()
