Verify that an entry has ended before a peer's report of it counts

Cause: the same class at the reports between entries: one that finds another's port refusing, which a fault of its own links can cause, reported its end; all believed it, and nothing ever took it back. The entry stayed out of resolve responses until it restarted. Change: a reported end counts only if the port refuses from here, too (endDoubted otherwise); an entry that counts as ended is tried each 2 s while it is listed, and is back if it accepts connections.

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -31,6 +31,7 @@
 	MemberReachable       = Event{2017, "memberReachable", Info, "An entry that did not respond does so again."}
 	StoreRestored         = Event{2018, "storeRestored", Warning, "The store was restored from a copy: its replies name another era, and its revisions have gone back."}
 	OlderListIgnored      = Event{2019, "olderListIgnored", Warning, "A list of all items was not applied, because it is older than the items that the entry has."}
+	EndDoubted            = Event{2020, "endDoubted", Warning, "A peer reports that another entry has ended, but its port does not refuse connections from here; the report is ignored."}
 	UpstreamLost          = Event{3001, "upstreamLost", Warning, "A connection to an upstream broke after a request was written to it."}
 	UpstreamDraining      = Event{3002, "upstreamDraining", Info, "An upstream reported that it is draining."}
 	ConnectionStalled     = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
@@ -69,7 +70,7 @@
 		LinesDropped, AcceptFailed, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone, ManyChanges,
-		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored,
+		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndDoubted,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
--- a/io/node/end_report.go
+++ b/io/node/end_report.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -27,6 +28,9 @@
 	// endCheckInterval is the time between two checks of an entry that does not
 	// respond.
 	endCheckInterval = time.Second
+	// endRecheckInterval is the average time between two checks of an entry that has
+	// ended. Half of it is random, because all entries check.
+	endRecheckInterval = 2 * time.Second
 	// endReportPath is the path where entries report ended entries to each other.
 	endReportPath = "/v1/gone"
 )
@@ -67,10 +71,9 @@
 func (n *Node) checkUntilResolved(in magnolialedge.Instance, mayBlame func() bool) {
 	time.Sleep(endCheckDelay)
 	for !n.isLeaving.Load() && n.members.isCurrent(in) {
-		c, err := net.DialTimeout("tcp", in.PeerAddress, endCheckTimeout)
+		err := dialPeer(in)
 		switch {
 		case err == nil:
-			_ = c.Close()
 			n.markReachable(in.Name)
 			return
 		case errors.Is(err, syscall.ECONNREFUSED):
@@ -83,6 +86,15 @@
 	}
 }
 
+// dialPeer returns an error unless an entry accepts a connection from its peers.
+func dialPeer(in magnolialedge.Instance) error {
+	c, err := net.DialTimeout("tcp", in.PeerAddress, endCheckTimeout)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 func (n *Node) markUnreachable(name string, cause error) {
 	if n.members.markUnreachable(time.Now(), name) {
 		n.log.Log(event.MemberUnreachable, "member", name, "subscribers", n.follower.Subscribers(), "err", cause)
@@ -125,15 +137,48 @@
 		return false
 	}
 	n.log.Log(event.MemberGone, "member", report.Name, "startedAt", report.StartedAt, "from", from)
+	go n.recheckEnd(report)
 	return true
 }
 
-// handleEndReport records an ended entry that a peer reports.
+// verifyEnd records an ended entry that a peer reports if this entry finds the same. The
+// peer's own links may be at fault.
+func (n *Node) verifyEnd(report endReport, from string) {
+	in, ok := n.members.find(func(in magnolialedge.Instance) bool { return in.Name == report.Name })
+	if !ok {
+		return
+	}
+	err := dialPeer(in)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		n.recordEnd(report, from)
+		return
+	}
+	n.log.Log(event.EndDoubted, "member", report.Name, "startedAt", report.StartedAt, "from", from, "err", err)
+}
+
+// recheckEnd tries an ended entry until the store no longer lists it, and corrects the
+// belief if it accepts connections after all.
+func (n *Node) recheckEnd(report endReport) {
+	for !n.isLeaving.Load() {
+		time.Sleep(endRecheckInterval/2 + rand.N(endRecheckInterval))
+		in, ok := n.members.findEnded(report)
+		if !ok {
+			return
+		}
+		if dialPeer(in) == nil {
+			n.members.unmarkEnded(report)
+			n.log.Log(event.MemberReachable, "member", report.Name)
+			return
+		}
+	}
+}
+
+// handleEndReport checks an entry of which a peer reports that it has ended.
 func (n *Node) handleEndReport(c echo.Context) error {
 	var report endReport
 	if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxPeerMessageBytes)).Decode(&report); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	n.recordEnd(report, c.RealIP())
+	go n.verifyEnd(report, c.RealIP())
 	return c.NoContent(http.StatusNoContent)
 }
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -199,6 +199,25 @@
 	return true
 }
 
+// findEnded returns the listed entry whose latest known run is the one that is reported
+// to have ended, or false.
+func (m *members) findEnded(report endReport) (magnolialedge.Instance, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed, ok := m.byName[report.Name]
+	in := m.latest(listed)
+	return in, ok && in.StartedAt <= report.StartedAt && m.hasEnded(in)
+}
+
+// unmarkEnded records that a run of an entry has not ended after all.
+func (m *members) unmarkEnded(report endReport) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.endedRuns[report.Name] == report.StartedAt {
+		delete(m.endedRuns, report.Name)
+	}
+}
+
 // isCurrent reports whether in is the latest known run of a listed entry.
 func (m *members) isCurrent(in magnolialedge.Instance) bool {
 	m.mu.Lock()
--- a/io/node/members_test.go
+++ b/io/node/members_test.go
@@ -196,3 +196,23 @@
 	require.Len(t, all, watchersPerRegion)
 	require.GreaterOrEqual(t, len(watchers(all[0])), watchersPerRegion)
 }
+
+func TestEntryThatDidNotEndIsListedAgain(t *testing.T) {
+	m := newMembers(magnolialedge.Instance{Name: "e1", Region: "east"})
+	in := testInstance("e2", "east")
+	in.StartedAt = 5
+	m.applyItem(listingItem(t, in))
+	report := endReport{Name: "e2", StartedAt: 5}
+	_, ended := m.findEnded(report)
+	require.False(t, ended)
+	require.True(t, m.markEnded(report))
+	found, ended := m.findEnded(report)
+	require.True(t, ended)
+	require.Equal(t, "e2:2", found.PeerAddress)
+	m.unmarkEnded(report)
+	require.Len(t, m.list(), 2)
+	in.StartedAt = 6
+	m.applyItem(listingItem(t, in))
+	_, ended = m.findEnded(report)
+	require.False(t, ended, "another run")
+}
