--- a/cmd/magnolialedge/serve.go
+++ b/cmd/magnolialedge/serve.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"magnolialedge/io/conn"
+	"magnolialedge/io/link"
 	"magnolialedge/io/node"
 	"magnolialedge/platform"
 )
@@ -14,8 +16,9 @@
 // serveCommand runs an entry that reads its routes and upstreams from the
 // platform's store.
 type serveCommand struct {
-	SettingsFile string `help:"Path of the settings file that the platform writes." required:"" env:"MAGNOLIALEDGE_NODE_FILE"`
-	MetricsPort  int    `help:"Port for metrics and dumps; 0 disables them." default:"0" env:"MAGNOLIALEDGE_METRICS_PORT"`
+	SettingsFile    string `help:"Path of the settings file that the platform writes." required:"" env:"MAGNOLIALEDGE_NODE_FILE"`
+	UpstreamGateway string `help:"Address of an HTTP CONNECT proxy for connections to upstreams; without one they are opened directly." env:"MAGNOLIALEDGE_UPSTREAM_GATEWAY"`
+	MetricsPort     int    `help:"Port for metrics and dumps; 0 disables them." default:"0" env:"MAGNOLIALEDGE_METRICS_PORT"`
 }
 
 // Run runs the entry until SIGTERM or SIGINT stops it.
@@ -32,6 +35,8 @@
 		API:         platform.EntryAPI{},
 		NewStore:    platform.OpenStore,
 		LogWriter:   os.Stdout,
+
+		UpstreamDialer: c.upstreamDialer(),
 	})
 	if err != nil {
 		return err
@@ -43,6 +48,14 @@
 	return n.Run(ctx, reload)
 }
 
+// upstreamDialer returns a dialer that uses the gateway, or nil if there is none.
+func (c *serveCommand) upstreamDialer() link.Dialer {
+	if c.UpstreamGateway == "" {
+		return nil
+	}
+	return conn.NewDialer(conn.DialerConfig{Gateways: map[string]string{"": c.UpstreamGateway}})
+}
+
 // settingsPollInterval is the interval at which the settings file is checked for
 // changes.
 const settingsPollInterval = 2 * time.Second
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -127,8 +127,7 @@
 
 // checkDrains records a breach for each request that an undisturbed entry sent to a
 // draining upstream more than maxDrainDelay after the start of the drain.
-func (cl *cluster) checkDrains(all []outcome, d deliveries) {
-	entries := entriesByRequest(all)
+func (cl *cluster) checkDrains(entries map[string]string, d deliveries) {
 	for id, list := range d {
 		for _, x := range list {
 			for _, s := range x.upstream.drainSpans() {
@@ -143,8 +142,7 @@
 
 // checkLimits records a breach for each time in which undisturbed entries together sent
 // an upstream more requests than the limit that it named allows.
-func (cl *cluster) checkLimits(all []outcome) {
-	entries := entriesByRequest(all)
+func (cl *cluster) checkLimits(entries map[string]string) {
 	for _, u := range cl.upstreams {
 		arrivals := u.arrivals()
 		for _, s := range u.limitSpans() {
@@ -172,8 +170,7 @@
 
 // checkNotices records a breach for each entry that sent an upstream requests although a
 // response had asked it to back off.
-func (cl *cluster) checkNotices(all []outcome) {
-	entries := entriesByRequest(all)
+func (cl *cluster) checkNotices(entries map[string]string) {
 	for _, u := range cl.upstreams {
 		arrivals := u.arrivals()
 		for _, s := range u.noticeSpans() {
@@ -206,12 +203,14 @@
 	}
 }
 
-// entriesByRequest returns the entry to which each request was sent, by request ID.
-func entriesByRequest(all []outcome) map[string]string {
+// sendersByRequest returns the entry that sent each request to upstreams, by request ID:
+// the one that its caller used, or the one to which that one handed it.
+func (cl *cluster) sendersByRequest(all []outcome) map[string]string {
 	out := map[string]string{}
 	for _, o := range all {
 		out[o.request.ID] = o.entry
 	}
+	cl.addHelpers(out)
 	return out
 }
 
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -90,7 +90,7 @@
 	for drainStart, breaches := range map[float64]int{9: 0, 8: 0, 6.5: 1} {
 		cl := emptyCluster()
 		d := deliveries{"7": {{platform.Arrival{ID: "7", At: at(10)}, &upstream{id: "u", drains: []timeSpan{{from: at(drainStart), to: at(12)}}}}}}
-		cl.checkDrains([]outcome{successfulRequest()}, d)
+		cl.checkDrains(cl.sendersByRequest([]outcome{successfulRequest()}), d)
 		require.Len(t, cl.breaches, breaches, "drain from %v", drainStart)
 	}
 }
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -43,6 +43,7 @@
 	entries      []*entry
 	upstreams    []*upstream
 	disturbances *disturbances
+	cuts         cuts
 
 	mu sync.Mutex
 	// lastVersion is the number of the latest version in configVersions.
@@ -147,6 +148,7 @@
 			e.stop(syscall.SIGKILL)
 		}
 		_ = e.linkListener.Close()
+		e.gateway.Close()
 	}
 	for _, u := range cl.upstreams {
 		u.close()
--- a/io/soak/entry.go
+++ b/io/soak/entry.go
@@ -35,6 +35,10 @@
 	// linkListener accepts them.
 	storeLink    *stand.Link
 	linkListener net.Listener
+	// upstreamLink forwards the connections from the entry to upstreams, and gateway
+	// serves it.
+	upstreamLink *stand.Link
+	gateway      *stand.Server
 
 	mu      sync.Mutex
 	current *process
@@ -65,6 +69,10 @@
 	}
 	e := &entry{binary: cfg.Binary, storeLink: stand.NewLink(stand.LinkBehaviour{}), linkListener: listener}
 	go e.storeLink.Forward(listener, store.Address)
+	e.upstreamLink = stand.NewLink(stand.LinkBehaviour{})
+	if e.gateway, err = stand.Listen("127.0.0.1:0", e.upstreamLink.Handler()); err != nil {
+		return nil, err
+	}
 	name := fmt.Sprintf("entry-%d", i)
 	e.settingsPath = filepath.Join(cfg.Dir, name+".toml")
 	e.logPath = filepath.Join(cfg.Dir, name+".log")
@@ -97,7 +105,7 @@
 	defer e.mu.Unlock()
 	e.isStopExpected = false
 	e.runCount++
-	e.current, err = startProcess(e.binary, e.settingsPath, e.metricsPort, out)
+	e.current, err = startProcess(e.binary, e.settingsPath, e.metricsPort, e.gateway.Address(), out)
 	return err
 }
 
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -26,6 +26,7 @@
 	{"stop an entry", stopEntry},
 	{"send SIGHUP to an entry", hangUpEntry},
 	{"disrupt an entry's link to the store", disruptStoreLink},
+	{"cut entries off from the upstreams", cutOffEntries},
 	{"make the store fail", failStore},
 	{"compact the store's history", compactStore},
 	{"restore the store from a copy", restoreStore},
--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -18,10 +18,10 @@
 }
 
 // startProcess starts an entry with the given settings file, and writes its output
-// to log. The kernel kills the entry when this process dies.
-func startProcess(binary, settingsPath string, metricsPort int, log io.Writer) (*process, error) {
+// to log. The entry connects to upstreams through gateway. The kernel kills the entry when this process dies.
+func startProcess(binary, settingsPath string, metricsPort int, gateway string, log io.Writer) (*process, error) {
 	cmd := exec.Command(binary, "serve", "--metrics-port", strconv.Itoa(metricsPort))
-	cmd.Args = append(cmd.Args, "--settings-file", settingsPath)
+	cmd.Args = append(cmd.Args, "--settings-file", settingsPath, "--upstream-gateway", gateway)
 	cmd.Stdout = log
 	cmd.Stderr = log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -150,10 +150,12 @@
 	}
 	d := deliveriesByRequest(cl.upstreams)
 	cl.checkOutcomes(all, d)
-	cl.checkDrains(all, d)
+	senders := cl.sendersByRequest(all)
+	cl.checkDrains(senders, d)
 	cl.checkRetries(all, d)
-	cl.checkLimits(all)
-	cl.checkNotices(all)
+	cl.checkLimits(senders)
+	cl.checkNotices(senders)
+	cl.checkCuts(all)
 	result := Result{Requests: len(all), Breaches: cl.breaches}
 	for _, o := range all {
 		switch {
