Show isolation in the dump and a gauge, and hold the first two seconds of a cut

Change: isolated in the dump and as a gauge; the test of cut-off entries holds .7 in the first 2 s, .98 from then on, .99 from 2 s after the end, and logs latencies and each failure.

--- a/io/node/cutoff_test.go
+++ b/io/node/cutoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -20,14 +21,18 @@
 	// attemptDeadline is how long callers wait for a response to an attempt.
 	attemptDeadline = 4 * time.Second
 	// cutServedRatio is how often first attempts at these entries must succeed then,
-	// in relation to those at the others.
+	// in relation to those at the others; cutEarlyRatio applies before cutSettleTime, and
+	// cutReturnRatio from cutSettleTime after the end.
 	cutServedRatio = 0.98
+	cutEarlyRatio  = 0.7
+	cutReturnRatio = 0.99
 )
 
 // attempt is the first attempt of a caller.
 type attempt struct {
 	entry  string
 	at     time.Time
+	took   time.Duration
 	status int
 }
 
@@ -57,6 +62,26 @@
 	return float64(ok) / float64(max(1, sent)), sent
 }
 
+// latencies returns the 50th and 99th percentile of the times of the attempts at the given
+// entries that succeeded, among those sent between two times.
+func (a *attempts) latencies(from, to time.Time, entries ...*testEntry) (p50, p99 time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var all []time.Duration
+	for _, e := range entries {
+		for _, x := range a.list {
+			if x.entry == e.settings.Name && x.status == http.StatusOK && !x.at.Before(from) && x.at.Before(to) {
+				all = append(all, x.took)
+			}
+		}
+	}
+	if len(all) == 0 {
+		return 0, 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2], all[len(all)*99/100]
+}
+
 // startAttempts sends requests to all entries, from four workers each, until the test
 // ends. path returns the path of the request with a number; a method other than GET is
 // used for those that begin with /writes/.
@@ -91,6 +116,10 @@
 	if err == nil {
 		x.status = resp.status
 	}
+	x.took = time.Since(x.at)
+	if x.status != http.StatusOK {
+		tc.t.Logf("%s at %s: status %d after %s: %s %v", path, e.settings.Name, x.status, x.took, resp.body, err)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.list = append(a.list, x)
@@ -146,13 +175,22 @@
 			setPartition(cut, stand.PartitionNone)
 			ended := time.Now()
 			time.Sleep(cutSettleTime + 2*time.Second)
-			for _, span := range [][2]time.Time{{begun.Add(cutSettleTime), ended}, {ended.Add(cutSettleTime), time.Now()}} {
-				served, n := sent.ratio(span[0], span[1], cut...)
-				reference, m := sent.ratio(span[0], span[1], others...)
-				t.Logf("served %.3f of %d at the entries that were cut off, %.3f of %d at the others", served, n, reference, m)
+			for _, span := range []struct {
+				from, to time.Time
+				ratio    float64
+			}{
+				{begun, begun.Add(cutSettleTime), cutEarlyRatio},
+				{begun.Add(cutSettleTime), ended, cutServedRatio},
+				{ended.Add(cutSettleTime), time.Now(), cutReturnRatio},
+			} {
+				served, n := sent.ratio(span.from, span.to, cut...)
+				reference, m := sent.ratio(span.from, span.to, others...)
+				p50, p99 := sent.latencies(span.from, span.to, cut...)
+				direct50, direct99 := sent.latencies(span.from, span.to, others...)
+				t.Logf("served %.3f of %d in %s / %s at the entries that were cut off, %.3f of %d in %s / %s at the others", served, n, p50, p99, reference, m, direct50, direct99)
 				require.Greater(t, n, 50)
 				require.Greater(t, reference, 0.98)
-				require.GreaterOrEqual(t, served, cutServedRatio*reference)
+				require.GreaterOrEqual(t, served, span.ratio*reference)
 			}
 			for _, u := range tc.upstreams {
 				for id, runs := range u.Runs() {
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -81,7 +81,9 @@
 	AgeMs    int64  `json:"ageMs"`
 	InFlight int64  `json:"inFlight"`
 	Leaving  bool   `json:"leaving"`
-	Members  any    `json:"members"`
+	// Isolated is set while the entry reaches no upstream.
+	Isolated bool `json:"isolated"`
+	Members  any  `json:"members"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -96,6 +98,7 @@
 			AgeMs:    n.follower.Staleness(time.Now()).Milliseconds(),
 			InFlight: n.inFlight(),
 			Leaving:  n.isLeaving.Load(),
+			Isolated: n.forwarder.IsIsolated(),
 			Members:  n.members.list(),
 		})
 	})
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -18,9 +18,18 @@
 		{"store_era", "Number of times that the store was restored, as far as the entry knows.", func() float64 { return float64(n.follower.Era()) }},
 		{"upstream_limits", "Upstreams that announce a limit on the requests from all entries.", func() float64 { return float64(n.forwarder.LimitedUpstreams()) }},
 		{"upstreams_unreachable", "Upstreams that did not respond to this entry when it last tried them.", func() float64 { return float64(n.forwarder.UnreachableUpstreams()) }},
+		{"isolated", "1 while this entry reaches no upstream.", func() float64 { return boolGauge(n.forwarder.IsIsolated()) }},
 		{"store_age_seconds", "Time since the store was last reached, by the entry or by its source.", func() float64 { return n.follower.Staleness(time.Now()).Seconds() }},
 	}
 	for _, g := range gauges {
 		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "magnolialedge", Name: g.name, Help: g.help}, g.value))
 	}
 }
+
+// boolGauge returns 1 for true and 0 for false.
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
