--- a/core/pick/contact_test.go
+++ b/core/pick/contact_test.go
@@ -24,3 +24,41 @@
 	require.Equal(t, 2*time.Second, s.ContactAge)
 	require.Equal(t, 2, f.UnreachableCount())
 }
+
+// Guards against upstreams that stay ejected because this entry's own links failed.
+func TestFailuresOfOwnLinksAreForgiven(t *testing.T) {
+	f := newTestFleet()
+	f.Register(at(0), registration("u1", "east-a", 4))
+	f.Register(at(0), registration("u2", "east-a", 4))
+	for range 5 {
+		f.BeginAttempt(at(0), "u1")
+		f.EndAttempt(at(0), AttemptResult{UpstreamID: "u1", Request: testRequest(at(0)), Status: AttemptFailed})
+	}
+	f.MarkUnreachable(at(0), "u2")
+	found, _ := f.Candidates(at(1), testRequest(at(1)), 3)
+	require.Empty(t, found)
+	f.ForgiveFailures("reads")
+	found, _ = f.Candidates(at(1), testRequest(at(1)), 3)
+	require.ElementsMatch(t, []string{"u1", "u2"}, ids(found))
+	require.False(t, f.HasUnreachable("reads"))
+}
+
+func TestCensusAndLossProbeTargets(t *testing.T) {
+	f := newTestFleet()
+	_, ok := f.LossProbeTarget(at(0), "reads", true)
+	require.False(t, ok)
+	f.Register(at(0), registration("near", "east-a", 4))
+	f.Register(at(0), registration("far", "west-a", 4))
+	leaving := registration("leaving", "east-b", 4)
+	leaving.Draining = true
+	f.Register(at(0), leaving)
+	ofService, ofAll := f.Census("reads")
+	require.Equal(t, 2, ofService.Upstreams)
+	require.Equal(t, 2, ofService.Zones)
+	require.Equal(t, ofService, ofAll)
+	for range 10 {
+		r, ok := f.LossProbeTarget(at(0), "reads", true)
+		require.True(t, ok)
+		require.Equal(t, "near", r.ID)
+	}
+}
--- a/core/proc/steer.go
+++ b/core/proc/steer.go
@@ -72,13 +72,32 @@
 	if len(live) == 0 {
 		live = liveInstances(all, Place{})
 	}
-	slices.SortFunc(live, func(a, b magnolialedge.Instance) int {
-		return cmp.Or(cmp.Compare(CapacityClass(b), CapacityClass(a)), cmp.Compare(rendezvousWeight(b, service), rendezvousWeight(a, service)), cmp.Compare(a.Name, b.Name))
-	})
+	sortForService(live, service)
 	wanted := max(minSteeredEntries, int(rate/requestsPerSecondPerEntry)+2)
 	return live, min(wanted, len(live))
 }
 
+// steeringKey is what an instance is ordered by.
+type steeringKey struct {
+	magnolialedge.Instance
+	class  int
+	weight uint64
+}
+
+// sortForService sorts instances in the order in which callers use them for service.
+func sortForService(live []magnolialedge.Instance, service string) {
+	keys := make([]steeringKey, len(live))
+	for i, in := range live {
+		keys[i] = steeringKey{Instance: in, class: CapacityClass(in), weight: rendezvousWeight(in, service)}
+	}
+	slices.SortFunc(keys, func(a, b steeringKey) int {
+		return cmp.Or(cmp.Compare(b.class, a.class), cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
+	})
+	for i, k := range keys {
+		live[i] = k.Instance
+	}
+}
+
 // CapacityClass groups instances by the power of two of their link bandwidth,
 // so that small differences in capacity do not change the order of entries. It
 // returns 0 if the bandwidth is unknown.
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -26,8 +25,6 @@
 	handoverPath = "/v1/handover"
 	// handoverProtocol is the name of the protocol in the Upgrade header.
 	handoverProtocol = "magnolialedge-handover"
-	// maxRankedHelpers limits the entries among which a helper is chosen.
-	maxRankedHelpers = 6
 	// maxUpgradeResponseBytes limits the response to the request for a switch.
 	maxUpgradeResponseBytes = 1 << 10
 )
@@ -93,21 +90,7 @@
 }
 
 // helpers returns the entries that may serve requests of a host in place of this one, best
-// first: those to which its callers are steered in this entry's zone, region, or anywhere.
-// These know the load of the upstreams best.
+// first.
 func (m *members) helpers(now time.Time, host string) []magnolialedge.Instance {
-	others := slices.DeleteFunc(m.reachable(now), func(in magnolialedge.Instance) bool {
-		return in.Name == m.self.Name || in.Leaving || in.Isolated
-	})
-	var out []magnolialedge.Instance
-	for _, place := range []proc.Place{{Region: m.self.Region, Zone: m.self.Zone}, {Region: m.self.Region}, {}} {
-		ranked, _ := proc.Steer(others, place, host, 0)
-		for _, in := range ranked {
-			isKnown := slices.ContainsFunc(out, func(x magnolialedge.Instance) bool { return x.Name == in.Name })
-			if !isKnown && len(out) < maxRankedHelpers {
-				out = append(out, in)
-			}
-		}
-	}
-	return out
+	return proc.RankHelpers(m.reachable(now), m.self.Name, proc.Place{Region: m.self.Region, Zone: m.self.Zone}, host)
 }
