--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"net/http"
+	"runtime/debug"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +12,7 @@
 	"magnolialedge"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/route"
+	"magnolialedge/io/event"
 	"magnolialedge/io/front"
 	"magnolialedge/io/link"
 )
@@ -129,6 +129,23 @@
 	return d.Sum64()
 }
 
+// serve returns the response that run makes and logs the request, unless the end of a
+// stream will. A panic becomes an error response.
+func (x *exchange) serve(run func() *front.Response) (resp *front.Response) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			x.f.cfg.Log.Log(event.RequestPanicked, "requestId", x.id, "cause", cause, "stack", string(debug.Stack()))
+			resp = x.reject(magnolialedge.KindInternal, 0)
+			x.report(resp)
+		}
+	}()
+	resp = run()
+	if resp.Stream == nil {
+		x.report(resp)
+	}
+	return resp
+}
+
 func (x *exchange) run(ctx context.Context) *front.Response {
 	switch {
 	case !x.hasRouting:
@@ -301,90 +318,3 @@
 	x.f.cfg.Metrics.Attempts.WithLabelValues(x.pickReq.Service, status).Inc()
 	return attemptSummary{upstream: p.ID, status: status, duration: elapsed, loadAge: loadAge, slowdown: p.Slowdown, load: p.Load}
 }
-
-// fail returns the response to a request whose attempts are over: the fallback if
-// there is one, else an error. An error for a request that certainly did not run
-// says when to retry.
-func (x *exchange) fail(ctx context.Context, kind magnolialedge.ErrorKind) *front.Response {
-	if x.fallback != nil {
-		return x.callerResponse(attemptResult{response: x.fallback})
-	}
-	if ctx.Err() != nil {
-		kind = magnolialedge.KindDeadlineExceeded
-	}
-	if x.mayHaveRun {
-		if kind != magnolialedge.KindDeadlineExceeded {
-			kind = magnolialedge.KindUpstreamLost
-		}
-		return x.reject(kind, 0)
-	}
-	if kind == magnolialedge.KindDeadlineExceeded {
-		kind = magnolialedge.KindOverloaded
-	}
-	return x.rejectForShortage(kind)
-}
-
-// rejectForShortage returns the response to a request for which there is no
-// capacity, and records the capacity for the log.
-func (x *exchange) rejectForShortage(kind magnolialedge.ErrorKind) *front.Response {
-	f := x.f
-	f.mu.Lock()
-	now := time.Now()
-	x.queued = f.queueFor(x.pickReq.Service).Len()
-	shortage := f.fleet.ShortageFor(now, x.pickReq, x.queued)
-	retryAfter := f.fleet.RetryAfter(now, x.pickReq, x.queued)
-	f.mu.Unlock()
-	x.shortage = &shortage
-	return x.reject(kind, retryAfter)
-}
-
-func (x *exchange) reject(kind magnolialedge.ErrorKind, retryAfter time.Duration) *front.Response {
-	x.errorKind = kind
-	resp := errorResponse(kind, retryAfter)
-	if x.id != "" {
-		resp.Header.Set(x.f.cfg.Headers.RequestID, x.id)
-	}
-	return resp
-}
-
-// hopByHopHeaders are the headers that apply to a single connection and are not
-// forwarded.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-// endToEndHeaders returns a copy of h without hop-by-hop headers, the headers
-// that Connection lists, and those in exclude.
-func endToEndHeaders(h http.Header, exclude ...string) http.Header {
-	out := h.Clone()
-	for _, v := range h["Connection"] {
-		for name := range strings.SplitSeq(v, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		out.Del(name)
-	}
-	for _, name := range exclude {
-		out.Del(name)
-	}
-	return out
-}
-
-// callerResponse converts an upstream's response to the one that the caller
-// receives.
-func (x *exchange) callerResponse(r attemptResult) *front.Response {
-	headers := x.f.cfg.Headers
-	resp := &front.Response{
-		Status: r.response.Status,
-		Header: endToEndHeaders(r.response.Header, headers.Load, headers.Instance, headers.NotRun),
-		Body:   r.response.Body,
-		Length: r.response.Length,
-	}
-	if r.stream != nil {
-		r.stream.response = resp
-		resp.Stream = r.stream
-	}
-	return resp
-}
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -184,20 +183,9 @@
 }
 
 // Handle implements front.Handler.
-func (f *Forwarder) Handle(ctx context.Context, r *front.Request) (resp *front.Response) {
+func (f *Forwarder) Handle(ctx context.Context, r *front.Request) *front.Response {
 	x := f.newExchange(r)
-	defer func() {
-		if cause := recover(); cause != nil {
-			f.cfg.Log.Log(event.RequestPanicked, "requestId", x.id, "cause", cause, "stack", string(debug.Stack()))
-			resp = x.reject(magnolialedge.KindInternal, 0)
-			x.report(resp)
-		}
-	}()
-	resp = x.run(ctx)
-	if resp.Stream == nil {
-		x.report(resp)
-	}
-	return resp
+	return x.serve(func() *front.Response { return x.run(ctx) })
 }
 
 // Reject implements front.Handler.
--- a/io/serve/handed.go
+++ b/io/serve/handed.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,31 +60,20 @@
 }
 
 // Handle implements front.Handler.
-func (h *handedRequests) Handle(ctx context.Context, r *front.Request) (resp *front.Response) {
-	f := h.Forwarder
+func (h *handedRequests) Handle(ctx context.Context, r *front.Request) *front.Response {
 	mark, err := parseHandover(r.Header)
-	x := f.newHandedExchange(r, mark)
+	x := h.newHandedExchange(r, mark)
 	if err != nil {
 		h.logInvalid(r, err)
 		return x.decline(magnolialedge.KindBadRequest)
 	}
-	defer func() {
-		if cause := recover(); cause != nil {
-			f.cfg.Log.Log(event.RequestPanicked, "requestId", x.id, "cause", cause, "stack", string(debug.Stack()))
-			resp = x.reject(magnolialedge.KindInternal, 0)
-			x.report(resp)
+	return x.serve(func() *front.Response {
+		if !h.beginHanded() {
+			return x.decline(magnolialedge.KindOverloaded)
 		}
-	}()
-	if f.beginHanded() {
-		defer f.endHanded()
-		resp = x.runHanded(ctx)
-	} else {
-		resp = x.decline(magnolialedge.KindOverloaded)
-	}
-	if resp.Stream == nil {
-		x.report(resp)
-	}
-	return resp
+		defer h.endHanded()
+		return x.runHanded(ctx)
+	})
 }
 
 // runHanded runs a request that was handed over. A refusal says that the request was not
