--- /dev/null
+++ b/io/serve/handed_test.go
@@ -0,0 +1,27 @@
+package serve
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func FuzzParseHandover(f *testing.F) {
+	f.Add(`{"from":"e1","route":"r","service":"s","kind":"safe","maxAttempts":2,"tried":["u1"],"ageMs":3}`)
+	f.Add(`{"from":"e1","service":"s","kind":"nonIdempotent","attempts":1}`)
+	f.Add(`{"from":"e1","service":"s","kind":"upload","ageMs":-1}`)
+	f.Add(`[]`)
+	f.Fuzz(func(t *testing.T, value string) {
+		h, err := parseHandover(http.Header{handoverHeader: {value}})
+		if err != nil {
+			return
+		}
+		require.NotEmpty(t, h.From)
+		require.NotEmpty(t, h.Service)
+		require.GreaterOrEqual(t, h.AgeMs, int64(0))
+		require.LessOrEqual(t, h.AgeMs, defaultTimeout.Milliseconds())
+		require.LessOrEqual(t, len(h.Tried), maxHandoverAttempts)
+		require.False(t, h.Attempts > 0 && !h.Kind.IsIdempotent())
+	})
+}
