Count the upstreams of a service only while its links are lost

Change: the count is taken in the lost state only. Measured: tests of core/reach and of cut-off entries pass; not timed.

--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -201,8 +201,8 @@
 }
 
 // RecordResponse records that an upstream responded on a connection that was opened at
-// openedAt. census is the number of upstreams of its service. It returns the change of
-// the service's state, and false if there is none.
+// openedAt. census, the number of upstreams of its service, matters only while the service
+// is lost. It returns the change of the service's state, and false if there is none.
 func (t *Tracker) RecordResponse(now, openedAt time.Time, u Upstream, census Census) (Change, bool) {
 	s := t.service(u.Service)
 	s.respondedAt = now
--- a/io/serve/reach.go
+++ b/io/serve/reach.go
@@ -45,7 +45,10 @@
 // f.mu.
 func (f *Forwarder) recordContact(now time.Time, c *link.Conn) {
 	f.fleet.RecordContact(now, c.Upstream.ID)
-	census, _ := f.fleet.Census(c.Upstream.Service)
+	census := reach.Census{}
+	if f.reach.StateAt(now, c.Upstream.Service) == reach.Lost {
+		census, _ = f.fleet.Census(c.Upstream.Service)
+	}
 	if change, ok := f.reach.RecordResponse(now, c.OpenedAt(), reachUpstream(c.Upstream), census); ok {
 		f.applyReachChange(change)
 	}
