Name new parts in the terms of the field, and draw the witnesses of a crash from the probe budget

Cause: read as a newcomer: innocents, forgive, doubted, willing and rescue are figures of speech or former names. Besides, checks of a lost upstream's neighbors went past the probe budget, and a paused upstream could be one. Change: succeededRequests, RecordSuccess, ResetFailures, upstreamLossUnconfirmed, endUnconfirmed, hedgeByHandover; Neighbors leaves out upstreams that may not be probed; each witness draws on the budget.

--- a/core/pick/contact.go
+++ b/core/pick/contact.go
@@ -95,9 +95,9 @@
 	return all[f.rand.IntN(len(all))], true
 }
 
-// ForgiveFailures discards what this entry holds against the upstreams of a service,
+// ResetFailures discards what this entry holds against the upstreams of a service,
 // since its own links were at fault.
-func (f *Fleet) ForgiveFailures(service string) {
+func (f *Fleet) ResetFailures(service string) {
 	for _, u := range f.byService[service] {
 		u.health = proc.Health{}
 		u.failureRate = 0
--- a/core/pick/contact_test.go
+++ b/core/pick/contact_test.go
@@ -26,7 +26,7 @@
 }
 
 // Guards against upstreams that stay ejected because this entry's own links failed.
-func TestFailuresOfOwnLinksAreForgiven(t *testing.T) {
+func TestFailuresOfOwnLinksAreDiscarded(t *testing.T) {
 	f := newTestFleet()
 	f.Register(at(0), registration("u1", "east-a", 4))
 	f.Register(at(0), registration("u2", "east-a", 4))
@@ -37,7 +37,7 @@
 	f.MarkUnreachable(at(0), "u2")
 	found, _ := f.Candidates(at(1), testRequest(at(1)), 3)
 	require.Empty(t, found)
-	f.ForgiveFailures("reads")
+	f.ResetFailures("reads")
 	found, _ = f.Candidates(at(1), testRequest(at(1)), 3)
 	require.ElementsMatch(t, []string{"u1", "u2"}, ids(found))
 	require.False(t, f.HasUnreachable("reads"))
--- a/core/pick/neighbor.go
+++ b/core/pick/neighbor.go
@@ -3,18 +3,19 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"magnolialedge"
 )
 
 // Neighbors returns at most limit upstreams other than r, of any service, in random
 // order: those of its availability zone, or of its region if it is the only one of its
-// zone, or else any. An entry that reaches none of them has probably lost its link to
-// that place, rather than r its life. Upstreams that want no probes are left out.
-func (f *Fleet) Neighbors(r magnolialedge.Registration, limit int) []magnolialedge.Registration {
+// zone, or else any. If an entry reaches none of them either, its link to that place is
+// probably at fault. Upstreams that may not be probed are left out.
+func (f *Fleet) Neighbors(now time.Time, r magnolialedge.Registration, limit int) []magnolialedge.Registration {
 	byDistance := map[distance][]magnolialedge.Registration{}
 	for _, u := range f.byID {
-		if u.ID == r.ID || u.Draining || u.isLeaving || u.quota != nil {
+		if u.ID == r.ID || u.Draining || !f.MayProbe(now, u.ID) {
 			continue
 		}
 		d := f.distanceBetween(u.Zone, r.Zone)
--- a/core/pick/neighbor_test.go
+++ b/core/pick/neighbor_test.go
@@ -10,7 +10,7 @@
 
 func neighborIDs(f *Fleet, r magnolialedge.Registration, limit int) []string {
 	out := []string{}
-	for _, n := range f.Neighbors(r, limit) {
+	for _, n := range f.Neighbors(at(0), r, limit) {
 		out = append(out, n.ID)
 	}
 	return out
--- a/core/proc/quarantine.go
+++ b/core/proc/quarantine.go
@@ -23,7 +23,7 @@
 // by the fingerprint of the request. It is not safe for concurrent use.
 type Quarantine struct {
 	suspects  map[uint64]suspect
-	innocents innocents
+	succeeded succeededRequests
 }
 
 // NewQuarantine returns an empty Quarantine.
@@ -31,18 +31,18 @@
 	return &Quarantine{suspects: map[uint64]suspect{}}
 }
 
-// RecordAnswer records that an upstream executed the request and answered it, which
-// clears the request of earlier losses and of those within innocenceTTL: upstreams go
-// down for other reasons, too, and a popular request is often in flight there.
-func (q *Quarantine) RecordAnswer(now time.Time, fingerprint uint64) {
+// RecordSuccess records that an upstream executed the request and responded, which
+// discards its losses and those within successTTL: upstreams go down for other reasons,
+// too, and a popular request is often in flight there.
+func (q *Quarantine) RecordSuccess(now time.Time, fingerprint uint64) {
 	delete(q.suspects, fingerprint)
-	q.innocents.add(now, fingerprint)
+	q.succeeded.add(now, fingerprint)
 }
 
 // RecordLoss counts one upstream lost to the request and returns the number of
-// losses. It is 0 for a request that an upstream has answered a short time ago.
+// losses. It is 0 for a request that an upstream has executed a short time ago.
 func (q *Quarantine) RecordLoss(now time.Time, fingerprint uint64) int {
-	if q.innocents.contains(now, fingerprint) {
+	if q.succeeded.contains(now, fingerprint) {
 		return 0
 	}
 	s := q.get(now, fingerprint)
@@ -52,7 +52,7 @@
 // RecordPeerLosses records the number of losses reported by a peer if it is
 // higher than the known number, and reports whether it was.
 func (q *Quarantine) RecordPeerLosses(now time.Time, fingerprint uint64, losses int) bool {
-	if losses <= q.get(now, fingerprint).losses || q.innocents.contains(now, fingerprint) {
+	if losses <= q.get(now, fingerprint).losses || q.succeeded.contains(now, fingerprint) {
 		return false
 	}
 	q.set(now, fingerprint, losses)
--- a/core/proc/quarantine_test.go
+++ b/core/proc/quarantine_test.go
@@ -22,24 +22,24 @@
 	require.False(t, quarantined(q, now.Add(QuarantineTTL), 7))
 }
 
-func TestAnsweredRequestIsNotBlamed(t *testing.T) {
+func TestSuccessfulRequestIsNotQuarantined(t *testing.T) {
 	q := NewQuarantine()
 	now := time.Unix(1000, 0)
-	q.RecordAnswer(now, 7)
+	q.RecordSuccess(now, 7)
 	require.Zero(t, q.RecordLoss(now.Add(time.Second), 7))
 	require.False(t, q.RecordPeerLosses(now.Add(time.Second), 7, 2))
 	require.False(t, quarantined(q, now.Add(time.Second), 7))
-	require.Equal(t, 1, q.RecordLoss(now.Add(innocenceTTL+time.Second), 7), "later losses count")
-	q.RecordAnswer(now.Add(innocenceTTL+2*time.Second), 7)
-	require.Zero(t, q.Losses(now.Add(innocenceTTL+2*time.Second), 7))
+	require.Equal(t, 1, q.RecordLoss(now.Add(successTTL+time.Second), 7), "later losses count")
+	q.RecordSuccess(now.Add(successTTL+2*time.Second), 7)
+	require.Zero(t, q.Losses(now.Add(successTTL+2*time.Second), 7))
 	require.Equal(t, 1, q.RecordLoss(now, 8), "other requests are not affected")
 }
 
-func TestInnocentsAreBounded(t *testing.T) {
+func TestSucceededRequestsAreBounded(t *testing.T) {
 	q := NewQuarantine()
 	now := time.Unix(1000, 0)
-	for i := range uint64(3 * maxInnocents) {
-		q.RecordAnswer(now, i)
+	for i := range uint64(3 * maxSucceeded) {
+		q.RecordSuccess(now, i)
 	}
-	require.Len(t, q.innocents.recent, maxInnocents)
+	require.Len(t, q.succeeded.recent, maxSucceeded)
 }
--- a/core/reach/helpers.go
+++ b/core/reach/helpers.go
@@ -36,20 +36,20 @@
 // there until End. ranked holds the names of all helpers, best first, and tried those
 // that the request was handed to before. Pick returns false if none is left.
 func (h *Helpers) Pick(now time.Time, service string, ranked, tried []string) (string, bool) {
-	var willing []string
+	var available []string
 	for _, name := range ranked {
 		if slices.Contains(tried, name) || now.Before(h.avoidUntil[helperService{name, service}]) {
 			continue
 		}
-		willing = append(willing, name)
-		if len(willing) == preferredHelpers {
+		available = append(available, name)
+		if len(available) == preferredHelpers {
 			break
 		}
 	}
-	if len(willing) == 0 {
+	if len(available) == 0 {
 		return "", false
 	}
-	best := slices.MinFunc(willing, func(a, b string) int { return h.inFlight[a] - h.inFlight[b] })
+	best := slices.MinFunc(available, func(a, b string) int { return h.inFlight[a] - h.inFlight[b] })
 	h.inFlight[best]++
 	return best, true
 }
--- a/io/node/end_report.go
+++ b/io/node/end_report.go
@@ -153,7 +153,7 @@
 		n.recordEnd(report, from)
 		return
 	}
-	n.log.Log(event.EndDoubted, "member", report.Name, "startedAt", report.StartedAt, "from", from, "err", err)
+	n.log.Log(event.EndUnconfirmed, "member", report.Name, "startedAt", report.StartedAt, "from", from, "err", err)
 }
 
 // recheckEnd tries an ended entry until the store no longer lists it, and corrects the
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -81,7 +81,7 @@
 	defer x.f.mu.Unlock()
 	x.f.recordContact(time.Now(), p.conn)
 	if r.isSuccess() {
-		x.f.quarantine.RecordAnswer(time.Now(), x.fingerprint)
+		x.f.quarantine.RecordSuccess(time.Now(), x.fingerprint)
 	}
 	if r.response.HasLoad {
 		x.f.fleet.RecordLoad(time.Now(), p.ID, r.response.Reading)
--- a/io/serve/crash.go
+++ b/io/serve/crash.go
@@ -61,8 +61,8 @@
 
 // hasCrashed reports whether an upstream that lost a connection is down. This entry must
 // not reach it although it reaches a neighbor of it, and another entry must not reach it
-// either, if one can tell: the links of this entry may be at fault, wholly or in part, and
-// no request must be blamed for that.
+// either, if one can tell. Otherwise the links of this entry may be at fault, wholly or in
+// part.
 func (f *Forwarder) hasCrashed(r magnolialedge.Registration, healthPath string) (crashed bool, witness string) {
 	err := f.checkNewConn(r, healthPath)
 	if err == nil || errors.Is(err, link.ErrWrongInstance) {
@@ -71,11 +71,11 @@
 	f.markUnreachable(r, err)
 	neighbor, ok := f.findWitness(r, healthPath)
 	if !ok {
-		f.cfg.Log.Log(event.UpstreamLossDoubted, "upstream", r.ID, "service", r.Service, "err", err)
+		f.cfg.Log.Log(event.UpstreamLossUnconfirmed, "upstream", r.ID, "service", r.Service, "err", err)
 		return false, ""
 	}
 	if peer, reached := f.askPeer(r.ID); reached {
-		f.cfg.Log.Log(event.UpstreamLossDoubted, "upstream", r.ID, "service", r.Service, "reachedBy", peer, "err", err)
+		f.cfg.Log.Log(event.UpstreamLossUnconfirmed, "upstream", r.ID, "service", r.Service, "reachedBy", peer, "err", err)
 		return false, ""
 	}
 	return true, neighbor.ID
@@ -105,13 +105,16 @@
 }
 
 // findWitness returns a neighbor of an upstream that accepts a new connection and
-// responds on it, or false if none of those tried does. Existing connections prove
+// responds on it, or false if none of those tried does or the probe budget is exhausted. Existing connections prove
 // nothing: a fault of the network may spare them.
 func (f *Forwarder) findWitness(r magnolialedge.Registration, healthPath string) (magnolialedge.Registration, bool) {
 	f.mu.Lock()
-	neighbors := f.fleet.Neighbors(r, crashWitnesses)
+	neighbors := f.fleet.Neighbors(time.Now(), r, crashWitnesses)
 	f.mu.Unlock()
 	for _, n := range neighbors {
+		if !f.spendProbe() {
+			break
+		}
 		if f.checkNewConn(n, f.healthPathOf(n.Service, healthPath)) == nil {
 			return n, true
 		}
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -41,7 +41,7 @@
 			if hedged || running == 0 {
 				continue
 			}
-			if x.startRescue(ctx, results) {
+			if x.hedgeByHandover(ctx, results) {
 				hedged = true
 				running++
 				continue
@@ -56,10 +56,10 @@
 	}
 }
 
-// startRescue hands the request to another entry as well if this entry has lost its links
+// hedgeByHandover hands the request to another entry as well if this entry has lost its links
 // to the upstreams since it sent the request, and reports whether it did. The result of
 // that is added to results.
-func (x *exchange) startRescue(ctx context.Context, results chan<- attemptResult) bool {
+func (x *exchange) hedgeByHandover(ctx context.Context, results chan<- attemptResult) bool {
 	if !x.mayHandOver() || !x.f.isLost(x.pickReq.Service) || x.sentAttempts+2 > max(1, x.match.MaxAttempts) {
 		return false
 	}
--- a/io/serve/reach.go
+++ b/io/serve/reach.go
@@ -84,7 +84,7 @@
 		}
 	case reach.Returning:
 		f.cfg.Log.Log(event.UpstreamsReturning, fields...)
-		f.fleet.ForgiveFailures(c.Service)
+		f.fleet.ResetFailures(c.Service)
 	}
 }
 
