--- a/io/node/handover_test.go
+++ b/io/node/handover_test.go
@@ -46,8 +46,9 @@
 	}
 }
 
-// Guards against a 503 for a request that ran: its response is lost between the entries.
-func TestRequestWhoseHelperDiesIsNotSaidToBeNotRun(t *testing.T) {
+// Guards against a 503 for a request that ran: the upstream of the helper loses its
+// response.
+func TestRequestThatRanOverAnotherEntryIsNotSaidToBeNotRun(t *testing.T) {
 	tc := newHandoverCluster(t)
 	tc.setResponseMode(stand.ResetAfterRun)
 	for range 5 {
