--- a/cmd/standin/routed.go
+++ b/cmd/standin/routed.go
@@ -34,6 +34,7 @@
 	Seed              uint64        `help:"Seed of the random noise and requests." default:"1"`
 	PrintLogs         bool          `name:"logs" help:"Print the logs of the entries."`
 	NoiseInterval     time.Duration `name:"noise-step" help:"Interval at which the noise of each upstream is chosen again." default:"500ms"`
+	cutOptions        `embed:""`
 }
 
 const (
@@ -54,13 +55,16 @@
 	defer cluster.Close()
 	go cluster.Run(ctx)
 	var callers []string
+	var partitions []*stand.Partition
 	for i := range c.Entries {
 		s := c.settings(cluster, i)
-		if err := c.startEntry(ctx, s); err != nil {
+		partitions = append(partitions, stand.NewPartition())
+		if err := c.startEntry(ctx, s, partitions[i]); err != nil {
 			return err
 		}
 		callers = append(callers, s.CallerAddress)
 	}
+	go c.cutOptions.run(ctx, partitions)
 	headers := platform.HeaderProtocol()
 	fmt.Printf("curl -H 'Host: %s' -H '%s: 1' -H '%s: 1000' http://%s/reads/1\n", stand.Host, headers.RequestID, headers.Deadline, callers[0])
 	if c.RequestsPerSecond <= 0 {
@@ -84,8 +88,9 @@
 	}
 }
 
-// startEntry starts an entry and waits until it is ready.
-func (c *routedCommand) startEntry(ctx context.Context, s node.Settings) error {
+// startEntry starts an entry whose upstreams are behind a partition, and waits until it is
+// ready.
+func (c *routedCommand) startEntry(ctx context.Context, s node.Settings, partition *stand.Partition) error {
 	logs := io.Discard
 	if c.PrintLogs {
 		logs = os.Stdout
@@ -97,6 +102,8 @@
 		API:       platform.EntryAPI{},
 		NewStore:  platform.OpenStore,
 		LogWriter: logs,
+
+		UpstreamDialer: partition,
 	})
 	if err != nil {
 		return err
