--- a/core/proc/bucket.go
+++ b/core/proc/bucket.go
@@ -77,3 +77,8 @@
 	b.tokens--
 	return true
 }
+
+// Refund returns the token of an attempt that Withdraw allowed and that was not made.
+func (b *RatioBudget) Refund() {
+	b.tokens = min(b.capacity, b.tokens+1)
+}
--- a/core/proc/budget_test.go
+++ b/core/proc/budget_test.go
@@ -96,3 +96,19 @@
 		}
 	})
 }
+
+func TestRefundedRetryCanBeUsedAgain(t *testing.T) {
+	b := RetryLimits{Ratio: 0.2, Extra: 16}.NewRetryBudget(8)
+	require.True(t, b.Withdraw())
+	require.True(t, b.Withdraw())
+	require.False(t, b.Withdraw())
+	b.Refund()
+	require.True(t, b.Withdraw())
+	require.False(t, b.Withdraw())
+	for range 5 {
+		b.Refund()
+	}
+	require.True(t, b.Withdraw())
+	require.True(t, b.Withdraw())
+	require.False(t, b.Withdraw(), "not more than the capacity")
+}
--- a/core/proc/helpers_test.go
+++ b/core/proc/helpers_test.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		helpers := RankHelpers(all, self.Name, placeOf(self), "host")
-		require.Len(t, helpers, maxHelpers)
+		require.Len(t, helpers, 2*helpersPerPlace)
 		require.Equal(t, namesOf(inUse), namesOf(helpers[:2]))
 	}
 }
@@ -65,6 +65,19 @@
 	require.GreaterOrEqual(t, len(used), 8)
 }
 
+// Load pattern: all entries of a zone, or of a region, lose their links at the same time,
+// and do not know of each other yet. The helpers of each must not all be among them.
+func TestHelpersAreInSeveralPlaces(t *testing.T) {
+	all := nineZones(35)
+	helpers := RankHelpers(all, "z4-e9", Place{Region: "r1", Zone: "z4"}, "host")
+	require.Len(t, helpers, 3*helpersPerPlace)
+	for i, in := range helpers {
+		require.NotEqual(t, "z4-e9", in.Name)
+		require.Equal(t, i < helpersPerPlace, in.Zone == "z4")
+		require.Equal(t, i < 2*helpersPerPlace, in.Region == "r1")
+	}
+}
+
 func TestIsolatedEntriesAreUsedWhenAllAre(t *testing.T) {
 	all := nineZones(35)
 	isolate(all, func(magnolialedge.Instance) bool { return true })
--- a/io/node/helper_fault_test.go
+++ b/io/node/helper_fault_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"magnolialedge"
+	"magnolialedge/io/node"
 	"magnolialedge/platform/stand"
 )
 
@@ -28,15 +29,15 @@
 }
 
 // addFaultyHelper lists an entry in the store that only accepts handovers.
-func (tc *testCluster) addFaultyHelper(respond func(c net.Conn, r *http.Request)) *faultyHelper {
+func (tc *testCluster) addFaultyHelper(name string, respond func(c net.Conn, r *http.Request)) *faultyHelper {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(tc.t, err)
 	tc.t.Cleanup(func() { _ = l.Close() })
 	h := &faultyHelper{listener: l, respond: respond}
 	go h.serve()
-	value, err := json.Marshal(magnolialedge.Instance{Name: "faulty", Region: "east", Zone: "east-a", CallerAddress: "127.0.0.1:1", PeerAddress: l.Addr().String(), StartedAt: 1})
+	value, err := json.Marshal(magnolialedge.Instance{Name: name, Region: "east", Zone: "east-a", CallerAddress: "127.0.0.1:1", PeerAddress: l.Addr().String(), StartedAt: 1})
 	require.NoError(tc.t, err)
-	tc.store.Put("members/faulty", value)
+	tc.store.Put("members/"+name, value)
 	return h
 }
 
@@ -89,7 +90,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			tc := newTestCluster(t)
-			h := tc.addFaultyHelper(c.respond)
+			h := tc.addFaultyHelper("faulty", c.respond)
 			time.Sleep(300 * time.Millisecond)
 			tc.entries[0].partition.Set(stand.PartitionReset)
 			require.Eventually(t, func() bool {
@@ -106,3 +107,27 @@
 		})
 	}
 }
+
+// Guards against requests that are refused because all entries near by have lost their
+// links, too, while others could serve them.
+func TestRequestIsHandedOverUntilAnEntryServesIt(t *testing.T) {
+	tc := newTestCluster(t)
+	for i := range 4 {
+		tc.addFaultyHelper(fmt.Sprintf("cut%d", i), func(c net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nMagnolialedge-Declined: noUpstream\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Request-Id"))
+		})
+	}
+	tc.addEntryWith("e2", "127.0.0.2", func(s *node.Settings) { s.Zone = "east-b" })
+	time.Sleep(500 * time.Millisecond)
+	tc.entries[0].partition.Set(stand.PartitionReset)
+	tc.awaitIsolation(tc.entries[0])
+	for range 5 {
+		for _, method := range []string{"GET", "POST"} {
+			path := map[string]string{"GET": "/reads/1", "POST": "/writes/1"}[method]
+			resp, id := tc.send(method, path, "x")
+			require.Equal(t, http.StatusOK, resp.status)
+			require.Equal(t, 1, tc.runCount(id))
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -24,6 +24,8 @@
 	stream *responseStream
 	// declined is the reason for which another entry did not take the request, or empty.
 	declined magnolialedge.ErrorKind
+	// passedBack is set if another entry declined the request or could not be reached.
+	passedBack bool
 	// sent is set if the request may have reached the upstream.
 	sent bool
 	err  error
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -252,6 +252,12 @@
 	return f.retryBudget(service).Withdraw()
 }
 
+func (f *Forwarder) refundRetry(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retryBudget(service).Refund()
+}
+
 // errorResponse returns a response that the load balancer generates itself.
 func errorResponse(kind magnolialedge.ErrorKind, retryAfter time.Duration) *front.Response {
 	spec := magnolialedge.ErrorResponseFor(kind)
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -20,8 +20,9 @@
 	// declinedHeader names the reason for which an entry declined a request that was
 	// handed to it. Nothing of the request was sent to an upstream.
 	declinedHeader = "Magnolialedge-Declined"
-	// maxHelpers limits the entries that one request is handed to.
-	maxHelpers = 2
+	// maxHelpers limits the entries that one request is handed to. Helpers near by may have
+	// lost the same links.
+	maxHelpers = 4
 	// unreachedToHandOver is the number of upstreams to which no connection could be
 	// opened until a request is handed over, whatever is known of the others.
 	unreachedToHandOver = 2
@@ -125,7 +126,7 @@
 	conn, err := f.connectHelper(ctx, p.Registration, !x.pickReq.Idempotent)
 	if err != nil {
 		f.endHandover(helper, x.pickReq.Service, ctx.Err() == nil)
-		return attemptResult{err: err, notRun: true, summary: x.summarizeHandover(p, "unreached", time.Since(start))}
+		return attemptResult{err: err, notRun: true, passedBack: true, summary: x.summarizeHandover(p, "unreached", time.Since(start))}
 	}
 	p.conn = conn
 	resp, sent, err := conn.RoundTrip(ctx, req)
@@ -135,7 +136,7 @@
 		r.declined = magnolialedge.ErrorKind(r.response.Header.Get(declinedHeader))
 	}
 	if r.declined != "" {
-		label, r.sent = "declined", false
+		label, r.sent, r.passedBack = "declined", false, true
 	}
 	r.summary = x.summarizeHandover(p, label, time.Since(start))
 	if err != nil && ctx.Err() == nil {
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -33,6 +33,10 @@
 		case r := <-results:
 			running--
 			x.recordResult(r)
+			if r.passedBack {
+				x.f.refundRetry(x.pickReq.Service)
+				hedged, x.triedHandover = false, len(x.triedHelpers) >= maxHelpers
+			}
 			if r.isSuccess() || running == 0 {
 				return r
 			}
@@ -69,6 +73,7 @@
 	}
 	if !x.f.withdrawRetry(x.pickReq.Service) {
 		x.f.endHandover(helper, x.pickReq.Service, false)
+		x.triedHelpers = x.triedHelpers[:len(x.triedHelpers)-1]
 		return false
 	}
 	x.triedHandover = true
