--- a/core/proc/helpers_test.go
+++ b/core/proc/helpers_test.go
@@ -78,6 +78,31 @@
 	}
 }
 
+func TestHelpersAreThoseToWhichCallersAreSteered(t *testing.T) {
+	for _, perZone := range []int{1, 2, 7} {
+		all := nineZones(perZone)
+		for _, host := range []string{"a", "b", "c"} {
+			helpers := RankHelpers(all, "none", Place{Region: "r1", Zone: "z4"}, host)
+			for i, match := range []func(magnolialedge.Instance) bool{
+				func(in magnolialedge.Instance) bool { return in.Zone == "z4" },
+				func(in magnolialedge.Instance) bool { return in.Region == "r1" && in.Zone != "z4" },
+				func(in magnolialedge.Instance) bool { return in.Region != "r1" },
+			} {
+				var live []magnolialedge.Instance
+				for _, in := range all {
+					if match(in) {
+						live = append(live, in)
+					}
+				}
+				n := min(helpersPerPlace, len(live))
+				require.Equal(t, namesOf(sortForService(live, host)[:n]), namesOf(helpers[:n]), "place %d", i)
+				helpers = helpers[n:]
+			}
+			require.Empty(t, helpers)
+		}
+	}
+}
+
 func TestIsolatedEntriesAreUsedWhenAllAre(t *testing.T) {
 	all := nineZones(35)
 	isolate(all, func(magnolialedge.Instance) bool { return true })
--- a/core/proc/steer.go
+++ b/core/proc/steer.go
@@ -72,30 +72,39 @@
 	if len(live) == 0 {
 		live = liveInstances(all, Place{})
 	}
-	sortForService(live, service)
+	live = sortForService(live, service)
 	wanted := max(minSteeredEntries, int(rate/requestsPerSecondPerEntry)+2)
 	return live, min(wanted, len(live))
 }
 
 // steeringKey is what an instance is ordered by.
 type steeringKey struct {
-	magnolialedge.Instance
+	*magnolialedge.Instance
 	class  int
 	weight uint64
 }
 
-// sortForService sorts instances in the order in which callers use them for service.
-func sortForService(live []magnolialedge.Instance, service string) {
+func newSteeringKey(in *magnolialedge.Instance, service string) steeringKey {
+	return steeringKey{Instance: in, class: CapacityClass(*in), weight: rendezvousWeight(*in, service)}
+}
+
+// compare returns a negative number if callers use the instance of k before that of o.
+func (k steeringKey) compare(o steeringKey) int {
+	return cmp.Or(cmp.Compare(o.class, k.class), cmp.Compare(o.weight, k.weight), cmp.Compare(k.Name, o.Name))
+}
+
+// sortForService returns instances in the order in which callers use them for service.
+func sortForService(live []magnolialedge.Instance, service string) []magnolialedge.Instance {
 	keys := make([]steeringKey, len(live))
-	for i, in := range live {
-		keys[i] = steeringKey{Instance: in, class: CapacityClass(in), weight: rendezvousWeight(in, service)}
+	for i := range live {
+		keys[i] = newSteeringKey(&live[i], service)
 	}
-	slices.SortFunc(keys, func(a, b steeringKey) int {
-		return cmp.Or(cmp.Compare(b.class, a.class), cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(keys, steeringKey.compare)
+	out := make([]magnolialedge.Instance, len(live))
 	for i, k := range keys {
-		live[i] = k.Instance
+		out[i] = *k.Instance
 	}
+	return out
 }
 
 // CapacityClass groups instances by the power of two of their link bandwidth,
