Send no heartbeat of a stream before the changes that wait for its subscriber

It carries the present position, so that the subscriber learned of a new era before the list that begins it, dropped the stream (the source's changes belong to another era) and asked the store for 3 s. Change: no heartbeat while messages wait.

--- a/io/mirror/restored_test.go
+++ b/io/mirror/restored_test.go
@@ -132,3 +132,23 @@
 	require.Eventually(t, k.has("c"), waitTimeout, time.Millisecond)
 	require.EqualValues(t, 2, f.Era())
 }
+
+// Guards against a subscriber that learns of a position, or an era, before the changes that
+// lead to it, because the heartbeat falls due while they wait to be sent.
+func TestHeartbeatDoesNotPrecedeWaitingMessages(t *testing.T) {
+	s := newFakeStore()
+	s.set("a", false)
+	f := NewFollower(Config{Store: s, OnChange: func([]magnolialedge.Item) {}, Sources: noSources, Dialer: httpPeers{}})
+	require.NoError(t, f.list(context.Background(), false))
+	_, sub := f.subscribe()
+	m, ok := f.heartbeat(sub)
+	require.True(t, ok)
+	require.Equal(t, f.position(), m.Position)
+	s.set("b", false)
+	require.NoError(t, f.fetchChanges(context.Background()))
+	_, ok = f.heartbeat(sub)
+	require.False(t, ok)
+	require.Equal(t, f.position(), (<-sub).Position)
+	_, ok = f.heartbeat(sub)
+	require.True(t, ok)
+}
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -241,8 +241,10 @@
 			}
 			m = next
 		case <-heartbeat.C:
-			m.Position = f.position()
-			m.Unreachable = f.unreachablePeers()
+			var ok bool
+			if m, ok = f.heartbeat(sub); !ok {
+				continue
+			}
 		}
 		if !f.send(w, m) {
 			return
@@ -250,6 +252,18 @@
 	}
 }
 
+// heartbeat returns the message for a subscriber that has received nothing for a while, or
+// false if messages wait for it: the present position must not precede them.
+func (f *Follower) heartbeat(sub <-chan message) (message, bool) {
+	unreachable := f.unreachablePeers()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(sub) > 0 {
+		return message{}, false
+	}
+	return message{Position: f.mirror.Position(), Unreachable: unreachable}, true
+}
+
 func (f *Follower) unreachablePeers() []string {
 	if f.cfg.Unreachable == nil {
 		return nil
