Decode client accounts, allowed regions, cold limits and evacuations

Cause: operators' configurations and items name client accounts, regions, limits of cold upstreams and evacuated zones, which the adapter ignored.

Nothing decides by them yet.

Result: the tests of the root, platform and core/pick pass; the decisions are unchanged.

--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -54,8 +54,15 @@
 	Route string
 	// Idempotent is true if the request may be executed more than once.
 	Idempotent bool
-	// Priority orders waiting requests; lower values are served first.
-	Priority int
+	// AccountPriority and Priority order waiting requests, in this order; lower values
+	// are served first.
+	AccountPriority int
+	Priority        int
+	// Account is the name of the client account, or empty.
+	Account string
+	// Regions lists the only regions whose upstreams may serve the request. It permits all
+	// if it is nil, and none if it is empty.
+	Regions []string
 	// SoftDeadline is the arrival time plus the latency target. A response
 	// after it has less value to the caller, and one after Deadline has none.
 	SoftDeadline time.Time
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -217,6 +217,7 @@
 		PeerAddress:   cmp.Or(n.settings.PeerAddress, net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.FirstPort))),
 		StartedAt:     n.start.UnixMilli(),
 		CapacityMbps:  n.settings.LinkMbps,
+		Protocol:      magnolialedge.PeerProtocol,
 	}
 }
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -43,6 +43,16 @@
 	// MaxProbesPerSec limits the load probes of one upstream by all entries
 	// together.
 	MaxProbesPerSec float64
+	// ColdOverage and ColdSlack bound the requests to a cold upstream in any second, from
+	// all entries together: the limit of its service times ColdOverage, plus ColdSlack.
+	ColdOverage float64
+	ColdSlack   float64
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of a client account in
+	// any window, at all entries together: what its rate and burst allow in QuotaWindow, times
+	// 1 + QuotaOverage, plus QuotaSlack.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 	// MaxStoreReadsPerSec limits the store reads of all entries together.
 	MaxStoreReadsPerSec float64
 	// MaxPropagation is the time within which a change of the store must be in
--- a/kind.go
+++ b/kind.go
@@ -43,6 +43,9 @@
 	KindHeaderTooLarge   ErrorKind = "headerTooLarge"
 	KindBadAnswer        ErrorKind = "badAnswer"
 	KindLeaving          ErrorKind = "leaving"
+	KindUnauthorized     ErrorKind = "unauthorized"
+	KindOverQuota        ErrorKind = "overQuota"
+	KindNoAllowedRegion  ErrorKind = "noAllowedRegion"
 )
 
 // ErrorResponse holds the status, outcome and retry time that are sent for an
@@ -89,6 +92,9 @@
 	KindHeaderTooLarge:   {http.StatusRequestHeaderFieldsTooLarge, OutcomeNotRun, 0},
 	KindBadAnswer:        {http.StatusBadGateway, OutcomeUnknown, time.Second},
 	KindLeaving:          {http.StatusServiceUnavailable, OutcomeNotRun, 100 * time.Millisecond},
+	KindUnauthorized:     {http.StatusUnauthorized, OutcomeNotRun, 0},
+	KindOverQuota:        {http.StatusTooManyRequests, OutcomeNotRun, time.Second},
+	KindNoAllowedRegion:  {http.StatusServiceUnavailable, OutcomeNotRun, time.Second},
 }
 
 // ErrorKinds returns all error kinds, in no particular order.
--- a/route.go
+++ b/route.go
@@ -47,6 +47,11 @@
 	MaxAttempts int `json:"attempts"`
 	// Split holds the services that share the requests.
 	Split []WeightedService `json:"split"`
+	// AllowedRegions lists the only regions whose upstreams may serve the requests; if it
+	// is empty, all may.
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
+	// AuthExempt is set if requests need no key of a client account.
+	AuthExempt bool `json:"authExempt,omitempty"`
 }
 
 // Timeout returns the timeout of the route, or 0 for none.
@@ -68,6 +73,10 @@
 	// MaxConnections limits the connections to one upstream from all entries
 	// together.
 	MaxConnections int `json:"maxConnections"`
+	// ColdPerSecond limits the requests to one upstream while it is cold, from all entries
+	// together; 0 sets no limit. ColdStartMs is how long an upstream is cold after its start.
+	ColdPerSecond float64 `json:"coldPerSecond,omitempty"`
+	ColdStartMs   int64   `json:"coldStartMs,omitempty"`
 }
 
 // RequestLimits limits the size and timing of callers' requests. Zero values
@@ -96,6 +105,9 @@
 	Routes   []Route         `json:"routes"`
 	Services []RoutedService `json:"services"`
 	Limits   RequestLimits   `json:"limits"`
+	// Accounts holds the client accounts. If there are any, a request needs the key of
+	// one, unless its route is exempt.
+	Accounts []ClientAccount `json:"accounts,omitempty"`
 }
 
 // Registration is the information that an upstream registers about itself.
@@ -109,8 +121,8 @@
 	// Slots is the number of requests that the upstream processes concurrently.
 	Slots    int
 	Draining bool
-	// WarmUpRemaining is the remaining time for which the upstream is slower
-	// after its start.
+	// WarmUpRemaining is the remaining time for which the upstream is cold, that is,
+	// slower than usual.
 	WarmUpRemaining time.Duration
 	// StartedAtUnixMs is the start time of the upstream in Unix milliseconds,
 	// or 0 if it is unknown. It distinguishes starts under the same ID.
@@ -140,6 +152,14 @@
 	PerSecond float64
 }
 
+// Evacuation is an operator's request that nothing be sent to the upstreams of an
+// availability zone, or its end.
+type Evacuation struct {
+	Zone string
+	// Active is false at the end of the evacuation.
+	Active bool
+}
+
 // DiscoveryUpdate is the decoded content of one item of the platform's store.
 type DiscoveryUpdate struct {
 	// Routing is a version of the routes.
@@ -149,6 +169,8 @@
 	// RemovedUpstreamID is the ID of an upstream that is no longer registered,
 	// or whose registration is invalid.
 	RemovedUpstreamID string
+	// Evacuation is the begin or the end of an evacuation.
+	Evacuation *Evacuation
 }
 
 // DiscoveryDecoder decodes the items that operators and upstreams write.
@@ -195,6 +217,13 @@
 	// ParseLeaving reports whether the values of the Leaving header say that the
 	// upstream is leaving. It returns an error if they are invalid.
 	ParseLeaving func([]string) (bool, error)
+	// ColdRemaining is how long the upstream stays cold, in milliseconds. Only responses to
+	// health checks carry it.
+	ColdRemaining string
+	// APIKey carries the key of a client account. It is never sent to an upstream.
+	APIKey string
+	// Account is the name of the client account, for the upstream.
+	Account string
 }
 
 // ResolveQuery is a caller's query for the addresses of a host.
--- a/store.go
+++ b/store.go
@@ -52,8 +52,16 @@
 	// CapacityMbps is the bandwidth of the instance's network link in Mbit/s,
 	// or 0 if it is unknown.
 	CapacityMbps float64 `json:"capacity,omitempty"`
+	// Protocol is the version of the messages between entries that the instance
+	// understands, up to PeerProtocol; 0 for a release that does not state one.
+	Protocol int `json:"protocol,omitempty"`
 }
 
+// PeerProtocol is the version of the messages between entries that this release
+// understands. Version 1 adds client accounts and allowed regions to requests that are
+// handed over, reports of cold upstreams, and credits.
+const PeerProtocol = 1
+
 // InstanceLister lists the running instances, including those that are shutting
 // down.
 type InstanceLister interface {
