--- a/core/route/table.go
+++ b/core/route/table.go
@@ -92,12 +92,31 @@
 // Kind returns the kind of the route that Find returns, without advancing its
 // traffic split.
 func (t *Table) Kind(host, path string) (magnolialedge.RouteKind, bool) {
+	r, ok := t.Route(host, path)
+	return r.Kind, ok
+}
+
+// Route returns the route that Find returns, without advancing its traffic split.
+func (t *Table) Route(host, path string) (magnolialedge.Route, bool) {
 	for _, c := range t.byHost[canonicalHost(host)] {
 		if strings.HasPrefix(path, c.route.Prefix) {
-			return c.route.Kind, true
+			return c.route, true
+		}
+	}
+	return magnolialedge.Route{}, false
+}
+
+// Regions returns the regions that at least one route of a host allows, or nil if a route
+// allows all or the host has no routes.
+func (t *Table) Regions(host string) []string {
+	var regions []string
+	for _, c := range t.byHost[canonicalHost(host)] {
+		if len(c.route.AllowedRegions) == 0 {
+			return nil
 		}
+		regions = append(regions, c.route.AllowedRegions...)
 	}
-	return "", false
+	return regions
 }
 
 // canonicalHost removes the port from a host and converts it to lower case.
