Evacuate zones and restrict requests to allowed regions

Cause: operators need to empty an availability zone and to bind routes to regions, and no code that chooses or counts upstreams knew of either.

--- a/cmd/magnolialedge/explain.go
+++ b/cmd/magnolialedge/explain.go
@@ -125,12 +125,28 @@
 	}
 	text := fmt.Sprintf("rejected with %s usable upstreams, %s free slots, %s upstreams whose limit left nothing and %s queued requests; expected a wait of %s ms and %s ms of service; the readings were %s ms old on average",
 		fields["usable"], fields["freeSlots"], cmp.Or(fields["limited"], "0"), fields["queued"], fields["expectedWaitMs"], fields["serviceMs"], fields["readingAgeMs"])
+	if causes := formatExclusions(fields); causes != "" {
+		text += "; " + causes
+	}
 	if fields["unreachable"] == "" {
 		return text
 	}
 	return text + "; " + formatContact(fields)
 }
 
+// formatExclusions describes the upstreams that evacuations and allowed regions excluded, or
+// returns "".
+func formatExclusions(fields map[string]string) string {
+	var causes []string
+	if n := fields["evacuated"]; n != "" {
+		causes = append(causes, n+" upstreams are in evacuated zones")
+	}
+	if n := fields["disallowed"]; n != "" {
+		causes = append(causes, n+" upstreams are outside the allowed regions ("+fields["regions"]+")")
+	}
+	return strings.Join(causes, "; ")
+}
+
 // formatContact describes how the entry reached the upstreams of the service.
 func formatContact(fields map[string]string) string {
 	last := "no upstream of the service had ever responded"
--- a/core/pick/bench_test.go
+++ b/core/pick/bench_test.go
@@ -34,3 +34,15 @@
 	})
 	require.Less(t, allocs, 30.0)
 }
+
+// BenchmarkPick picks among 300 upstreams of three zones, two thirds of them in the entry's
+// region.
+func BenchmarkPick(b *testing.B) {
+	f := newTestFleet()
+	for i := range 300 {
+		f.Register(at(0), registration(fmt.Sprint("u", i), []string{"east-a", "east-b", "west-a"}[i%3], 4))
+	}
+	for b.Loop() {
+		f.Candidates(at(0), testRequest(at(0)), 3)
+	}
+}
--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -147,15 +147,16 @@
 	hasUsable := false
 	f.updateShares(now, req.Service)
 	s := f.newSelection(now, req)
+	p := newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
-		if !u.isUsable(now) || slices.Contains(req.Tried, u.ID) {
+		if !p.admits(u) || slices.Contains(req.Tried, u.ID) {
 			continue
 		}
 		if u.health.StateAt(now) == proc.Probation && (!req.Idempotent || u.inFlight > 0) {
 			continue
 		}
 		hasUsable = true
-		if !u.isWithinQuota(now) || (u.isReturning && u.inFlight > 0) {
+		if !p.isWithinQuota(u) || (u.isReturning && u.inFlight > 0) {
 			continue
 		}
 		load := u.load(now)
@@ -240,8 +241,9 @@
 // hasLocalUpstream reports whether the entry's region has a usable upstream for
 // the request, with or without a free slot.
 func (f *Fleet) hasLocalUpstream(now time.Time, req Request) bool {
+	p := newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
-		if u.distance != otherRegion && u.isUsable(now) && !slices.Contains(req.Tried, u.ID) {
+		if u.distance != otherRegion && p.admits(u) && !slices.Contains(req.Tried, u.ID) {
 			return true
 		}
 	}
--- a/core/pick/contact.go
+++ b/core/pick/contact.go
@@ -15,12 +15,13 @@
 	}
 }
 
-// contact returns the number of upstreams of a service that did not respond when they
-// were last tried, and the time since any of them responded, or -1 if none has.
-func (f *Fleet) contact(now time.Time, service string) (unreachable int, age time.Duration) {
+// contact returns the number of upstreams that could serve a request and did not respond when
+// they were last tried, and the time since any of the service responded, or -1 if none has.
+func (f *Fleet) contact(now time.Time, req Request) (unreachable int, age time.Duration) {
 	age = -1
-	for _, u := range f.byService[service] {
-		if u.backoff > 0 {
+	p := newFilter(now, req)
+	for _, u := range f.byService[req.Service] {
+		if u.backoff > 0 && !u.isEvacuated && p.isAllowed(u) {
 			unreachable++
 		}
 		if !u.contactAt.IsZero() && (age < 0 || now.Sub(u.contactAt) < age) {
@@ -42,11 +43,12 @@
 	return n
 }
 
-// HasUnreachable reports whether some upstream of a service did not respond when it was
-// last tried.
-func (f *Fleet) HasUnreachable(service string) bool {
-	for _, u := range f.byService[service] {
-		if u.backoff > 0 && !u.Draining && !u.isLeaving {
+// HasUnreachable reports whether some upstream that could serve a request did not respond
+// when it was last tried.
+func (f *Fleet) HasUnreachable(req Request) bool {
+	p := filter{regions: req.Regions}
+	for _, u := range f.byService[req.Service] {
+		if u.backoff > 0 && u.isInService() && p.isAllowed(u) {
 			return true
 		}
 	}
@@ -54,11 +56,11 @@
 }
 
 // Census returns the numbers of upstreams and zones of a service, and of all services.
-// Upstreams that are leaving do not count.
+// Upstreams that are leaving or in an evacuated zone do not count.
 func (f *Fleet) Census(service string) (ofService, ofAll reach.Census) {
 	serviceZones, allZones := map[string]bool{}, map[string]bool{}
 	for _, u := range f.byID {
-		if u.Draining || u.isLeaving {
+		if !u.isInService() {
 			continue
 		}
 		ofAll.Upstreams++
@@ -77,8 +79,9 @@
 // entry's region, if there is any.
 func (f *Fleet) LossProbeTarget(now time.Time, service string, preferLocal bool) (magnolialedge.Registration, bool) {
 	var local, all []magnolialedge.Registration
+	p := filter{now: now}
 	for _, u := range f.byService[service] {
-		if u.Draining || !f.MayProbe(now, u.ID) {
+		if u.Draining || !p.mayProbe(u) {
 			continue
 		}
 		all = append(all, u.Registration)
--- a/core/pick/contact_test.go
+++ b/core/pick/contact_test.go
@@ -40,7 +40,7 @@
 	f.ResetFailures("reads")
 	found, _ = f.Candidates(at(1), testRequest(at(1)), 3)
 	require.ElementsMatch(t, []string{"u1", "u2"}, ids(found))
-	require.False(t, f.HasUnreachable("reads"))
+	require.False(t, f.HasUnreachable(testRequest(at(0))))
 }
 
 func TestCensusAndLossProbeTargets(t *testing.T) {
--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -51,7 +51,9 @@
 	newcomerAdmittedAt map[string]time.Time
 	// formerNotices holds the notices of removed upstreams, by ID.
 	formerNotices map[string]formerNotice
-	rand          *rand.Rand
+	// evacuated holds the evacuated availability zones.
+	evacuated map[string]bool
+	rand      *rand.Rand
 }
 
 // NewFleet returns a Fleet without upstreams.
@@ -65,6 +67,7 @@
 
 		newcomerAdmittedAt: map[string]time.Time{},
 		formerNotices:      map[string]formerNotice{},
+		evacuated:          map[string]bool{},
 		rand:               rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x5bd1e995)),
 	}
 }
@@ -87,6 +90,8 @@
 		f.startedAt = now
 	}
 	u = newUpstream(now, r, f.distanceTo(r.Zone))
+	u.region = f.cfg.Regions[r.Zone]
+	u.isEvacuated = f.evacuated[r.Zone]
 	f.restoreNotice(u)
 	u.isNewcomer = now.Sub(f.startedAt) > initialListingTime
 	f.byID[r.ID] = u
@@ -125,9 +130,19 @@
 	return len(f.byService[service])
 }
 
-// TotalUpstreams returns the number of upstreams of all services.
+// TotalUpstreams returns the number of upstreams of all services, without those of evacuated
+// zones, which get no probes.
 func (f *Fleet) TotalUpstreams() int {
-	return len(f.byID)
+	n := len(f.byID)
+	if len(f.evacuated) == 0 {
+		return n
+	}
+	for _, u := range f.byID {
+		if u.isEvacuated {
+			n--
+		}
+	}
+	return n
 }
 
 func (f *Fleet) distanceTo(zone string) distance {
@@ -193,8 +208,9 @@
 // a probe is a request too.
 func (f *Fleet) StaleUpstreams(now time.Time, service string, limit int) []magnolialedge.Registration {
 	var out []magnolialedge.Registration
+	p := filter{now: now}
 	for _, u := range f.byService[service] {
-		if u.distance != otherRegion && u.isUsable(now) && f.MayProbe(now, u.ID) && !u.reportsNoLoad && now.Sub(u.loadReadAt) > maxReadingAge {
+		if u.distance != otherRegion && p.isUsable(u) && p.mayProbe(u) && !u.reportsNoLoad && now.Sub(u.loadReadAt) > maxReadingAge {
 			out = append(out, u.Registration)
 		}
 	}
--- a/core/pick/neighbor.go
+++ b/core/pick/neighbor.go
@@ -14,8 +14,9 @@
 // probably at fault. Upstreams that may not be probed are left out.
 func (f *Fleet) Neighbors(now time.Time, r magnolialedge.Registration, limit int) []magnolialedge.Registration {
 	byDistance := map[distance][]magnolialedge.Registration{}
+	p := filter{now: now}
 	for _, u := range f.byID {
-		if u.ID == r.ID || u.Draining || !f.MayProbe(now, u.ID) {
+		if u.ID == r.ID || u.Draining || !p.mayProbe(u) {
 			continue
 		}
 		d := f.distanceBetween(u.Zone, r.Zone)
--- a/core/pick/newcomer.go
+++ b/core/pick/newcomer.go
@@ -28,10 +28,10 @@
 }
 
 // hasSameZoneUpstream reports whether a service has an upstream in the entry's
-// zone.
+// zone, unless the zone is evacuated.
 func (f *Fleet) hasSameZoneUpstream(service string) bool {
 	for _, u := range f.byService[service] {
-		if u.distance == sameZone {
+		if u.distance == sameZone && !u.isEvacuated {
 			return true
 		}
 	}
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -85,10 +85,10 @@
 }
 
 // MayProbe reports whether a probe may be sent to an upstream: one that is leaving,
-// asks to back off or announces a limit gets none.
+// in an evacuated zone, asks to back off or announces a limit gets none.
 func (f *Fleet) MayProbe(now time.Time, id string) bool {
 	u, ok := f.byID[id]
-	return ok && u.quota == nil && !u.isLeaving && !u.isPaused(now)
+	return ok && filter{now: now}.mayProbe(u)
 }
 
 // recordExecution records that the upstream executed a request that was sent at sentAt.
@@ -103,17 +103,13 @@
 	return now.Before(n.pausedUntil)
 }
 
-// acceptsRequests reports whether the notice permits requests from this entry.
-func (n *notice) acceptsRequests(now time.Time) bool {
-	return !n.isLeaving && !n.isPaused(now)
-}
-
-// earliestReturn returns the time until the first of the paused upstreams of a service
-// takes requests again, and false if none is paused.
-func (f *Fleet) earliestReturn(now time.Time, service string) (time.Duration, bool) {
+// earliestReturn returns the time until the first of the paused upstreams that may serve a
+// request takes requests again, and false if none is paused.
+func (f *Fleet) earliestReturn(now time.Time, req Request) (time.Duration, bool) {
 	wait, found := time.Duration(0), false
-	for _, u := range f.byService[service] {
-		if u.Draining || u.isLeaving || !u.isPaused(now) {
+	p := newFilter(now, req)
+	for _, u := range f.byService[req.Service] {
+		if !u.isInService() || !p.isAllowed(u) || !u.isPaused(now) {
 			continue
 		}
 		if left := u.pausedUntil.Sub(now); !found || left < wait {
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -50,7 +50,7 @@
 func (q *Queue) Push(now time.Time, w *Waiter, f *Fleet) bool {
 	ahead := 0
 	for _, x := range q.waiters {
-		if !isBefore(now, w, x, f) {
+		if w.Request.sharesRegion(x.Request) && !isBefore(now, w, x, f) {
 			ahead++
 		}
 	}
@@ -101,7 +101,7 @@
 		}
 	}()
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
-		class := waiterClass{route: w.Request.serviceTimeKey(), canMeetTarget: f.canMeetTarget(now, w.Request)}
+		class := waiterClass{route: w.Request.serviceTimeKey(), regions: w.Request.regionsKey(), canMeetTarget: f.canMeetTarget(now, w.Request)}
 		if blocked[class] {
 			return false
 		}
@@ -122,6 +122,7 @@
 // waiterClass identifies the waiters that the same upstreams can serve.
 type waiterClass struct {
 	route         string
+	regions       string
 	canMeetTarget bool
 }
 
@@ -172,8 +173,9 @@
 func (f *Fleet) expectedWait(now time.Time, req Request, ahead int) (wait, serviceTime time.Duration) {
 	requestsPerNano := 0.0
 	contention := f.contentionOf(req.Service)
+	p := newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
-		if !u.isUsable(now) || u.health.StateAt(now) == proc.Probation {
+		if !p.admits(u) || u.health.StateAt(now) == proc.Probation {
 			continue
 		}
 		rate := float64(u.effectiveSlots(contention)) / u.slowdownAt(now) / f.ServiceTimeNanos(req)
@@ -194,6 +196,10 @@
 	// FreeSlots the number of their free slots.
 	Usable    int
 	FreeSlots int
+	// Evacuated is the number of upstreams in evacuated zones, and Disallowed that of the
+	// others that are outside the allowed regions of the request.
+	Evacuated  int
+	Disallowed int
 	// Limited is the number of upstreams that announce a limit in which this entry has no
 	// share, or has used it up.
 	Limited int
@@ -215,15 +221,24 @@
 func (f *Fleet) ShortageFor(now time.Time, req Request, waiting int) Shortage {
 	s := Shortage{}
 	s.ExpectedWait, s.ServiceTime = f.expectedWait(now, req, waiting)
-	s.Unreachable, s.ContactAge = f.contact(now, req.Service)
+	s.Unreachable, s.ContactAge = f.contact(now, req)
 	contention := f.contentionOf(req.Service)
 	age, readings := time.Duration(0), 0
+	p := newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
-		isWithinQuota := u.isWithinQuota(now)
+		switch {
+		case u.isEvacuated:
+			s.Evacuated++
+			continue
+		case !p.isAllowed(u):
+			s.Disallowed++
+			continue
+		}
+		isWithinQuota := p.isWithinQuota(u)
 		if !isWithinQuota {
 			s.Limited++
 		}
-		if !u.isUsable(now) {
+		if !p.admits(u) {
 			continue
 		}
 		s.Usable++
@@ -242,15 +257,11 @@
 	return s
 }
 
-func (f *Fleet) hasUsable(now time.Time, service string) bool {
-	return slices.ContainsFunc(f.byService[service], func(u *upstream) bool { return u.isUsable(now) })
-}
-
 // RetryAfter returns the time after which a rejected request is likely to find
 // a free slot. waiting is the number of queued requests. If all upstreams asked to back
 // off, it is the shortest of their times.
 func (f *Fleet) RetryAfter(now time.Time, req Request, waiting int) time.Duration {
-	if wait, ok := f.earliestReturn(now, req.Service); ok && !f.hasUsable(now, req.Service) {
+	if wait, ok := f.earliestReturn(now, req); ok && !f.hasUsable(now, req.withoutTried()) {
 		return max(wait, minRetryAfter)
 	}
 	wait, serviceTime := f.expectedWait(now, req, waiting)
--- a/core/pick/quota.go
+++ b/core/pick/quota.go
@@ -131,18 +131,6 @@
 	}
 }
 
-// isOpen reports whether the upstream's limit, if it announces one, leaves this entry a
-// share.
-func (u *upstream) isOpen(now time.Time) bool {
-	return u.quota == nil || u.quota.IsOpen(now)
-}
-
-// isWithinQuota reports whether the upstream's limit, if it announces one, permits a request
-// from this entry now.
-func (u *upstream) isWithinQuota(now time.Time) bool {
-	return u.quota == nil || u.quota.IsAvailable(now)
-}
-
 // reserve counts a request that a waiter is about to send, until release.
 func (u *upstream) reserve() {
 	u.inFlight++
--- a/core/pick/reserve.go
+++ b/core/pick/reserve.go
@@ -16,8 +16,9 @@
 		return true
 	}
 	total, free := 0.0, 0.0
+	p := newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
-		if u.distance == otherRegion || !u.isUsable(now) || !u.isWithinQuota(now) || isTooSlowForTarget(req, s.serviceTimeNanos*u.slowdownAt(now)) {
+		if u.distance == otherRegion || !p.admits(u) || !p.isWithinQuota(u) || isTooSlowForTarget(req, s.serviceTimeNanos*u.slowdownAt(now)) {
 			continue
 		}
 		slots := float64(u.effectiveSlots(s.contention))
--- a/core/pick/result.go
+++ b/core/pick/result.go
@@ -97,12 +97,12 @@
 }
 
 // canEject reports whether another upstream of the service may be ejected. At
-// most half of those that are not draining may be ejected or on probation at a
+// most half of those that are neither draining nor evacuated may be ejected or on probation at a
 // time.
 func (f *Fleet) canEject(now time.Time, service string) bool {
 	unhealthy, total := 0, 0
 	for _, u := range f.byService[service] {
-		if u.Draining {
+		if u.Draining || u.isEvacuated {
 			continue
 		}
 		total++
--- /dev/null
+++ b/core/pick/strand.go
@@ -0,0 +1,43 @@
+package pick
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"magnolialedge"
+)
+
+// WakeStranded wakes the waiters that no upstream may serve any longer, so that they do not
+// wait in vain.
+func (q *Queue) WakeStranded(now time.Time, f *Fleet) {
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
+		if f.hasUsable(now, w.Request) {
+			return false
+		}
+		w.Wake(WakeForCapacity)
+		return true
+	})
+}
+
+// regionsKey identifies the allowed regions of a request, in their order.
+func (req Request) regionsKey() string {
+	if req.Regions == nil {
+		return ""
+	}
+	return "\x00" + strings.Join(req.Regions, "\x00")
+}
+
+// sharesRegion reports whether two requests may need the same upstreams.
+func (req Request) sharesRegion(other Request) bool {
+	if req.Regions == nil || other.Regions == nil {
+		return true
+	}
+	return slices.ContainsFunc(req.Regions, func(region string) bool { return magnolialedge.PermitsRegion(other.Regions, region) })
+}
+
+// withoutTried returns the request as if it had not been sent anywhere.
+func (req Request) withoutTried() Request {
+	req.Tried = nil
+	return req
+}
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -42,8 +42,12 @@
 // upstream is the state of one registered upstream as this entry sees it.
 type upstream struct {
 	magnolialedge.Registration
-	roundTrip   time.Duration
-	distance    distance
+	roundTrip time.Duration
+	distance  distance
+	// region is that of the upstream's zone, and isEvacuated is set while the zone is
+	// evacuated.
+	region      string
+	isEvacuated bool
 	warmUpUntil time.Time
 	// inFlight is the number of requests in flight from this entry.
 	inFlight int
@@ -260,12 +264,6 @@
 	u.failureRate = rate - failureRateGain*rate
 }
 
-// isUsable reports whether the upstream may receive requests: it is not
-// draining, backed off or ejected, and its notice and limit permit requests.
-func (u *upstream) isUsable(now time.Time) bool {
-	return !u.Draining && u.acceptsRequests(now) && !now.Before(u.backoffUntil) && u.health.StateAt(now) != proc.Ejected && u.isOpen(now)
-}
-
 // decay returns the weight of a value of the given age under exponential decay.
 func decay(age, timeConstant time.Duration) float64 {
 	if age <= 0 {
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -32,6 +32,9 @@
 	StoreRestored           = Event{2018, "storeRestored", Warning, "The store was restored from a copy: its replies name another era, and its revisions have gone back."}
 	OlderListIgnored        = Event{2019, "olderListIgnored", Warning, "A list of all items was not applied, because it is older than the items that the entry has."}
 	EndUnconfirmed          = Event{2020, "endUnconfirmed", Warning, "A peer reports that another entry has ended, but its port does not refuse connections from here; the report is ignored."}
+	ZoneEvacuated           = Event{2021, "zoneEvacuated", Info, "The evacuation of an availability zone began; nothing is sent to the upstreams of the zone."}
+	ZoneReturned            = Event{2022, "zoneReturned", Info, "The evacuation of an availability zone ended."}
+	EvacuationIgnored       = Event{2023, "evacuationIgnored", Warning, "The evacuation of an unknown availability zone is ignored; further ones of the zone are not logged."}
 	UpstreamLost            = Event{3001, "upstreamLost", Warning, "A connection to an upstream broke after a request was written to it."}
 	UpstreamDraining        = Event{3002, "upstreamDraining", Info, "An upstream reported that it is draining."}
 	ConnectionStalled       = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
@@ -70,7 +73,7 @@
 		LinesDropped, AcceptFailed, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone, ManyChanges,
-		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed,
+		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -33,7 +33,8 @@
 	if region == "" {
 		region = n.settings.Regions[q.Zone]
 	}
-	return magnolialedge.Resolution{Addresses: n.members.addresses(q.Host, proc.Place{Region: region, Zone: q.Zone}), TTL: min(defaultResolveTTL, max(minResolveTTL, n.settings.MaxResolveTTL))}
+	place := proc.Place{Region: region, Zone: q.Zone}
+	return magnolialedge.Resolution{Addresses: n.members.addresses(q.Host, place, n.forwarder.AllowedRegions(q.Host)), TTL: min(defaultResolveTTL, max(minResolveTTL, n.settings.MaxResolveTTL))}
 }
 
 // crashReport is the message to peers that a request crashed upstreams.
@@ -83,7 +84,9 @@
 	Leaving  bool   `json:"leaving"`
 	// Isolated is set while the entry reaches no upstream.
 	Isolated bool `json:"isolated"`
-	Members  any  `json:"members"`
+	// Evacuated lists the evacuated availability zones.
+	Evacuated []evacuatedZone `json:"evacuated"`
+	Members   any             `json:"members"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -92,14 +95,15 @@
 	e.GET(metricsPath, echo.WrapHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	e.GET(dumpPath, func(c echo.Context) error {
 		return c.JSON(http.StatusOK, dump{
-			Name:     n.settings.Name,
-			Version:  n.forwarder.Version(),
-			Revision: n.follower.Revision(),
-			AgeMs:    n.follower.Staleness(time.Now()).Milliseconds(),
-			InFlight: n.inFlight(),
-			Leaving:  n.isLeaving.Load(),
-			Isolated: n.forwarder.IsIsolated(),
-			Members:  n.members.list(),
+			Name:      n.settings.Name,
+			Version:   n.forwarder.Version(),
+			Revision:  n.follower.Revision(),
+			AgeMs:     n.follower.Staleness(time.Now()).Milliseconds(),
+			InFlight:  n.inFlight(),
+			Leaving:   n.isLeaving.Load(),
+			Isolated:  n.forwarder.IsIsolated(),
+			Evacuated: n.evacuations.list(),
+			Members:   n.members.list(),
 		})
 	})
 	return e
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -301,9 +301,10 @@
 }
 
 // addresses returns the caller addresses that clients of a host at a place should
-// use, in random order.
-func (m *members) addresses(host string, place proc.Place) []string {
-	live, count := proc.Steer(m.reachable(time.Now()), place, host, 0)
+// use, in random order. regions lists the only regions in which the host's requests may be
+// served, or is nil.
+func (m *members) addresses(host string, place proc.Place, regions []string) []string {
+	live, count := proc.SteerAllowed(m.reachable(time.Now()), place, host, 0, regions)
 	var out []string
 	for _, in := range live[:count] {
 		out = append(out, in.CallerAddress)
--- a/io/node/members_test.go
+++ b/io/node/members_test.go
@@ -67,27 +67,27 @@
 func TestLeavingEntryIsExcludedFromSourcesAndAddresses(t *testing.T) {
 	views := memberViews(t, "east", "a", "b", "c")
 	m := views["a"]
-	before := m.addresses("shop.example", proc.Place{Region: "east"})
+	before := m.addresses("shop.example", proc.Place{Region: "east"}, nil)
 	require.Len(t, before, 2)
 	for _, name := range []string{"b", "c"} {
 		leaving := testInstance(name, "east")
 		leaving.Leaving = true
 		m.applyItem(listingItem(t, leaving))
 	}
-	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}))
+	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}, nil))
 	require.Empty(t, m.sources())
 }
 
 func TestRegionWithoutEntriesGetsAddressesOfOtherRegions(t *testing.T) {
 	views := memberViews(t, "east", "a", "b")
-	require.NotEmpty(t, views["a"].addresses("shop.example", proc.Place{Region: "north"}))
+	require.NotEmpty(t, views["a"].addresses("shop.example", proc.Place{Region: "north"}, nil))
 }
 
 func TestUnlistedEntryStillReturnsItsOwnAddress(t *testing.T) {
 	m := newMembers(testInstance("a", "east"))
-	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}))
+	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}, nil))
 	m.setLeaving()
-	require.Empty(t, m.addresses("shop.example", proc.Place{Region: "east"}))
+	require.Empty(t, m.addresses("shop.example", proc.Place{Region: "east"}, nil))
 }
 
 func TestMalformedMemberIsIgnored(t *testing.T) {
@@ -105,12 +105,12 @@
 	leaving := testInstance("b", "east")
 	leaving.Leaving = true
 	m.recordSelfReport(leaving)
-	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}))
+	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}, nil))
 	restarted := testInstance("b", "east")
 	restarted.StartedAt = 5
 	m.recordSelfReport(restarted)
 	m.recordSelfReport(leaving)
-	require.Len(t, m.addresses("shop.example", proc.Place{Region: "east"}), 2)
+	require.Len(t, m.addresses("shop.example", proc.Place{Region: "east"}, nil), 2)
 }
 
 func TestEndedEntryIsExcludedUntilItRestarts(t *testing.T) {
@@ -152,17 +152,17 @@
 	east := proc.Place{Region: "east"}
 	now := time.Now()
 	lost := "b"
-	if !slices.Contains(m.addresses("shop.example", east), "b:1") {
+	if !slices.Contains(m.addresses("shop.example", east, nil), "b:1") {
 		lost = "c"
 	}
 	require.True(t, m.markUnreachable(now, lost))
 	require.False(t, m.markUnreachable(now, lost))
-	require.Len(t, m.addresses("shop.example", east), 2)
-	require.NotContains(t, m.addresses("shop.example", east), lost+":1")
+	require.Len(t, m.addresses("shop.example", east, nil), 2)
+	require.NotContains(t, m.addresses("shop.example", east, nil), lost+":1")
 	require.Equal(t, []string{lost}, m.unreachable())
 	require.Len(t, m.list(), 3, "an entry that does not respond stays a member")
 	require.True(t, m.markReachable(now, lost))
-	require.Contains(t, m.addresses("shop.example", east), lost+":1")
+	require.Contains(t, m.addresses("shop.example", east, nil), lost+":1")
 	require.False(t, m.markUnreachable(now, "a"), "an entry never blames itself")
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -55,6 +55,7 @@
 
 	members      *members
 	quotas       *quotaSharer
+	evacuations  *evacuations
 	follower     *mirror.Follower
 	pool         *link.Pool
 	forwarder    *serve.Forwarder
@@ -110,7 +111,7 @@
 	if s.MaxPropagation <= 0 {
 		s.MaxPropagation = core.DefaultPropagation
 	}
-	n := &Node{cfg: cfg, settings: s, start: time.Now(), registry: prometheus.NewRegistry()}
+	n := &Node{cfg: cfg, settings: s, start: time.Now(), registry: prometheus.NewRegistry(), evacuations: newEvacuations()}
 	n.logWriter = event.NewAsyncWriter(cfg.LogWriter)
 	n.log = event.NewLogger(n.logWriter, s.Name)
 	n.members = newMembers(n.self())
--- a/io/node/peer_check.go
+++ b/io/node/peer_check.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"magnolialedge"
 	"magnolialedge/io/event"
 )
 
@@ -42,7 +43,7 @@
 // askPeer asks other entries, one after the other, whether they reach an upstream, until
 // one can tell. It returns the name of that entry and whether it does.
 func (n *Node) askPeer(ctx context.Context, upstreamID string) (peer string, reached bool) {
-	helpers := n.members.helpers(time.Now(), upstreamID)
+	helpers := n.members.helpers(time.Now(), upstreamID, anyInstance)
 	for _, in := range helpers[:min(maxAskedPeers, len(helpers))] {
 		check, err := n.postCheck(ctx, in.PeerAddress, upstreamID)
 		if err != nil {
@@ -56,6 +57,10 @@
 	return "", false
 }
 
+func anyInstance(magnolialedge.Instance) bool {
+	return true
+}
+
 func (n *Node) postCheck(ctx context.Context, address, upstreamID string) (peerCheck, error) {
 	body, err := json.Marshal(peerCheck{Upstream: upstreamID})
 	if err != nil {
--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 
 	"magnolialedge"
@@ -59,22 +60,30 @@
 }
 
 // sortRoutingLast moves routing behind upstreams, because an entry with routing
-// is ready and rejects requests for which it has no upstream yet.
+// is ready and rejects requests for which it has no upstream yet. It moves evacuations
+// before upstreams, so that no request is sent to an upstream that registers in an
+// evacuated zone.
 func sortRoutingLast(updates []update) []update {
 	out := slices.Clone(updates)
-	slices.SortStableFunc(out, func(a, b update) int {
-		switch {
-		case a.Routing == nil && b.Routing != nil:
-			return -1
-		case a.Routing != nil && b.Routing == nil:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(out, func(a, b update) int { return cmp.Compare(a.rank(), b.rank()) })
 	return out
 }
 
+// rank orders the updates of a batch.
+func (u update) rank() int {
+	switch {
+	case u.Evacuation != nil:
+		return 0
+	case u.Routing != nil:
+		return 2
+	}
+	return 1
+}
+
 func (n *Node) applyUpdate(u update, logUpstreams bool) {
+	if u.Evacuation != nil {
+		n.applyEvacuation(*u.Evacuation, u.revision)
+	}
 	if u.Routing != nil && n.forwarder.SetRouting(*u.Routing) {
 		n.quotas.setRouting(*u.Routing)
 		n.log.Log(event.RoutingInForce, "version", u.Routing.Version, "revision", u.revision, "routes", len(u.Routing.Routes))
--- a/io/serve/crash.go
+++ b/io/serve/crash.go
@@ -62,8 +62,11 @@
 // hasCrashed reports whether an upstream that lost a connection is down. This entry must
 // not reach it although it reaches a neighbor of it, and another entry must not reach it
 // either, if one can tell. Otherwise the links of this entry may be at fault, wholly or in
-// part.
+// part. Nothing is sent to an upstream of an evacuated zone, so that it cannot be told.
 func (f *Forwarder) hasCrashed(r magnolialedge.Registration, healthPath string) (crashed bool, witness string) {
+	if f.isEvacuated(r.Zone) {
+		return false, ""
+	}
 	err := f.checkNewConn(r, healthPath)
 	if err == nil || errors.Is(err, link.ErrWrongInstance) {
 		return false, ""
@@ -97,7 +100,7 @@
 	f.mu.Lock()
 	r, ok := f.fleet.Find(id)
 	f.mu.Unlock()
-	if !ok || f.isLost(r.Service) || !f.spendProbe() {
+	if !ok || f.isEvacuated(r.Zone) || f.isLost(r.Service) || !f.spendProbe() {
 		return false, false
 	}
 	err := f.checkNewConn(r, f.healthPathOf(r.Service, "/"))
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -31,10 +31,12 @@
 
 // exchange is the processing of one request: its attempts and its response.
 type exchange struct {
-	f           *Forwarder
-	req         *front.Request
-	id          string
-	match       route.Match
+	f     *Forwarder
+	req   *front.Request
+	id    string
+	match route.Match
+	// version is that of the routes by which the request was checked last.
+	version     int64
 	hasRouting  bool
 	hasRoute    bool
 	deadline    time.Time
@@ -82,7 +84,7 @@
 
 func (f *Forwarder) newExchange(r *front.Request) *exchange {
 	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Headers.RequestID)}
-	x.match, x.hasRouting, x.hasRoute = f.findRoute(r)
+	x.setRoute()
 	x.setTimes(r.Arrived)
 	x.fingerprint = fingerprintOf(r)
 	return x
@@ -101,6 +103,7 @@
 		LatencyTarget: x.match.LatencyTarget(),
 		Deadline:      x.deadline,
 		BodyBytes:     int64(len(x.req.Body)),
+		Regions:       x.allowedRegions(x.match.Route),
 	}
 }
 
@@ -152,6 +155,8 @@
 		return x.reject(magnolialedge.KindNotReady, magnolialedge.ErrorResponseFor(magnolialedge.KindNotReady).RetryAfter)
 	case !x.hasRoute:
 		return x.reject(magnolialedge.KindNoRoute, 0)
+	case hasNoAllowedRegion(x.pickReq):
+		return x.rejectForShortage(magnolialedge.KindNoAllowedRegion)
 	}
 	if left, refused := x.f.quarantinedFor(x.fingerprint); refused {
 		return x.reject(magnolialedge.KindQuarantined, left)
@@ -198,7 +203,7 @@
 	if kind != magnolialedge.KindNoUpstream || !x.mayHandOver() {
 		return false
 	}
-	return x.unreached > 0 || x.f.hasUnreachable(x.pickReq.Service)
+	return x.unreached > 0 || x.f.hasUnreachable(x.pickReq)
 }
 
 func (f *Forwarder) quarantinedFor(fingerprint uint64) (time.Duration, bool) {
@@ -218,6 +223,9 @@
 func (x *exchange) pickUpstream(ctx context.Context) (*placement, magnolialedge.ErrorKind) {
 	f := x.f
 	for ctx.Err() == nil {
+		if kind := x.refresh(); kind != "" {
+			return nil, kind
+		}
 		if x.shouldHandOver() || x.shouldPassBack() {
 			return nil, magnolialedge.KindNoUpstream
 		}
@@ -287,6 +295,10 @@
 func (x *exchange) connectPlacement(ctx context.Context, p *placement) *placement {
 	c, err := x.f.connect(ctx, p.Candidate, !x.pickReq.Idempotent, x.match.Service.HealthPath)
 	switch {
+	case err == nil && !x.isStillPermitted(p):
+		x.f.endAttempt(p, x.pickReq, 0, pick.AttemptCanceled)
+		x.f.cfg.Pool.Put(c)
+		return nil
 	case err == nil:
 	case errors.Is(ctx.Err(), context.Canceled):
 		x.f.endAttempt(p, x.pickReq, 0, pick.AttemptCanceled)
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -30,8 +30,9 @@
 	// Name is the name of this entry.
 	Name string
 	// Helpers returns the entries that may serve requests of a host in place of this
-	// one, best first. If it is nil, no request is handed over.
-	Helpers func(now time.Time, host string) []magnolialedge.Instance
+	// one, best first, among those that accepts returns true for. If it is nil, no request is
+	// handed over.
+	Helpers func(now time.Time, host string, accepts func(magnolialedge.Instance) bool) []magnolialedge.Instance
 	// HelperPool holds the connections to these entries.
 	HelperPool *link.Pool
 	// MaxHanded limits the requests in progress that other entries handed to this one;
@@ -114,7 +115,12 @@
 	if f.routes != nil && r.Version <= f.routes.Config().Version {
 		return false
 	}
+	previous := magnolialedge.RoutingConfig{}
+	if f.routes != nil {
+		previous = f.routes.Config()
+	}
 	f.routes = route.NewTable(r, f.routes)
+	f.wakeForRouting(previous, r)
 	return true
 }
 
@@ -195,14 +201,26 @@
 	return errorResponse(kind, magnolialedge.ErrorResponseFor(kind).RetryAfter)
 }
 
-func (f *Forwarder) findRoute(r *front.Request) (m route.Match, hasRouting, hasRoute bool) {
+// setRoute sets the route of the request by the version of the routes in force.
+func (x *exchange) setRoute() {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	if x.f.routes == nil {
+		return
+	}
+	x.hasRouting, x.version = true, x.f.routes.Config().Version
+	x.match, x.hasRoute = x.f.routes.Find(x.req.Host, x.req.Path)
+}
+
+// AllowedRegions returns the regions in which requests of a host may be served, or nil if
+// there is no restriction.
+func (f *Forwarder) AllowedRegions(host string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.routes == nil {
-		return route.Match{}, false, false
+		return nil
 	}
-	m, hasRoute = f.routes.Find(r.Host, r.Path)
-	return m, true, hasRoute
+	return f.routes.Regions(host)
 }
 
 // SetEntryCount sets the number of live entries among which the retry and probe
--- a/io/serve/handed.go
+++ b/io/serve/handed.go
@@ -106,9 +106,11 @@
 func (f *Forwarder) newHandedExchange(r *front.Request, h handover) *exchange {
 	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Headers.RequestID), handover: &h, hasRouting: true, hasRoute: true}
 	x.match = route.Match{
-		Route:   magnolialedge.Route{Name: h.Route, Host: r.Host, Kind: h.Kind, Priority: h.Priority, LatencyTargetMs: h.LatencyTargetMs, MaxAttempts: h.MaxAttempts},
+		Route:   magnolialedge.Route{Name: h.Route, Host: r.Host, Kind: h.Kind, Priority: h.Priority, LatencyTargetMs: h.LatencyTargetMs, MaxAttempts: h.MaxAttempts, AllowedRegions: h.AllowedRegions},
 		Service: magnolialedge.RoutedService{Name: h.Service, HealthPath: f.healthPathOf(h.Service, "/")},
 	}
+	// Checked by this version as well, since an entry of protocol 0 hands over no regions.
+	x.version = h.Version - 1
 	x.sentAttempts = h.Attempts
 	x.isCounted = h.IsCounted
 	x.setTimes(r.Arrived.Add(-time.Duration(h.AgeMs) * time.Millisecond))
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -53,6 +53,9 @@
 	AgeMs int64 `json:"ageMs"`
 	// IsCounted is set if the request already counts towards the retry budget.
 	IsCounted bool `json:"isCounted,omitempty"`
+	// AllowedRegions lists the only regions whose upstreams may serve the request; if it is
+	// empty, all may. Entries of protocol 0 ignore it.
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
 }
 
 // mayHandOver reports whether the request may still be handed to another entry. One that
@@ -79,12 +82,15 @@
 	x.triedHandover = true
 	isDeclined := false
 	for range maxHelpers {
-		h, ok, hasHelpers := x.f.pickHelper(x)
+		if kind := x.refresh(); kind != "" {
+			return x.fail(ctx, kind)
+		}
+		h, ok, hasHelpers := x.f.pickHelper(x, x.pickReq.Regions)
 		if !ok {
 			isDeclined = isDeclined || hasHelpers
 			break
 		}
-		r := x.recordResult(x.handTo(ctx, h, x.handoverRequest()))
+		r := x.recordResult(x.handTo(ctx, h, x.handoverRequest(x.pickReq.Regions, x.version)))
 		switch {
 		case r.err == nil && r.declined == "":
 			return x.handedResponse(r)
@@ -197,13 +203,14 @@
 	return f.cfg.HelperPool.Open(ctx, r)
 }
 
-// handoverRequest returns the request as it is sent to another entry.
-func (x *exchange) handoverRequest() *link.Request {
+// handoverRequest returns the request as it is sent to another entry with the given
+// restrictions, by the given version of the routes.
+func (x *exchange) handoverRequest(regions []string, version int64) *link.Request {
 	req := x.upstreamRequest()
 	mark, err := json.Marshal(handover{
 		From:            x.f.cfg.Name,
 		Route:           x.match.Name,
-		Version:         x.f.Version(),
+		Version:         version,
 		Service:         x.pickReq.Service,
 		Kind:            x.match.Kind,
 		Priority:        x.match.Priority,
@@ -213,6 +220,7 @@
 		Tried:           x.pickReq.Tried,
 		AgeMs:           time.Since(x.req.Arrived).Milliseconds(),
 		IsCounted:       x.isCounted,
+		AllowedRegions:  regions,
 	})
 	if err != nil {
 		x.f.cfg.Log.Log(event.HandoverInvalid, "requestId", x.id, "err", err)
@@ -221,10 +229,10 @@
 	return req
 }
 
-// pickHelper returns the entry to which a request is handed, and false if there is none
-// at present. hasHelpers tells whether there are any at all.
-func (f *Forwarder) pickHelper(x *exchange) (helper magnolialedge.Instance, ok, hasHelpers bool) {
-	ranked := f.cfg.Helpers(time.Now(), x.req.Host)
+// pickHelper returns the entry to which a request with the given restrictions is handed, and
+// false if there is none at present. hasHelpers tells whether there are any at all.
+func (f *Forwarder) pickHelper(x *exchange, regions []string) (helper magnolialedge.Instance, ok, hasHelpers bool) {
+	ranked := f.cfg.Helpers(time.Now(), x.req.Host, mayBeHandedTo(regions))
 	names := make([]string, 0, len(ranked))
 	byName := map[string]magnolialedge.Instance{}
 	for _, in := range ranked {
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -67,7 +67,13 @@
 	if !x.mayHandOver() || !x.f.isLost(x.pickReq.Service) || x.sentAttempts+2 > max(1, x.match.MaxAttempts) {
 		return false
 	}
-	helper, ok, _ := x.f.pickHelper(x)
+	x.f.mu.Lock()
+	req, version := x.refreshed()
+	x.f.mu.Unlock()
+	if hasNoAllowedRegion(req) {
+		return false
+	}
+	helper, ok, _ := x.f.pickHelper(x, req.Regions)
 	if !ok {
 		return false
 	}
@@ -77,9 +83,9 @@
 		return false
 	}
 	x.triedHandover = true
-	req := x.handoverRequest()
+	handed := x.handoverRequest(req.Regions, version)
 	x.f.cfg.Log.Log(event.SecondAttempt, "requestId", x.id, "service", x.pickReq.Service, "to", helperIDPrefix+helper.Name)
-	go func() { results <- x.handTo(ctx, helper, req) }()
+	go func() { results <- x.handTo(ctx, helper, handed) }()
 	return true
 }
 
@@ -168,7 +174,8 @@
 	f := x.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c, ok := f.fleet.HedgeCandidate(time.Now(), x.pickReq, running)
+	req, _ := x.refreshed()
+	c, ok := f.fleet.HedgeCandidate(time.Now(), req, running)
 	if !ok || !commit {
 		return c, ok
 	}
--- a/io/serve/reach.go
+++ b/io/serve/reach.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"magnolialedge"
+	"magnolialedge/core/pick"
 	"magnolialedge/core/reach"
 	"magnolialedge/io/event"
 	"magnolialedge/io/link"
@@ -33,12 +34,12 @@
 	return f.reach.AllowsDirect(time.Now(), service)
 }
 
-// hasUnreachable reports whether some upstream of a service did not respond when it was
-// last tried.
-func (f *Forwarder) hasUnreachable(service string) bool {
+// hasUnreachable reports whether some upstream that could serve a request did not respond
+// when it was last tried.
+func (f *Forwarder) hasUnreachable(req pick.Request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.fleet.HasUnreachable(service)
+	return f.fleet.HasUnreachable(req)
 }
 
 // recordContact records that an upstream responded on a connection. The caller holds
@@ -55,8 +56,12 @@
 	f.announceIsolation()
 }
 
-// recordFailure records that an upstream did not respond. The caller holds f.mu.
+// recordFailure records that an upstream did not respond, unless its zone is evacuated. The
+// caller holds f.mu.
 func (f *Forwarder) recordFailure(now time.Time, r magnolialedge.Registration) {
+	if f.fleet.IsEvacuated(r.Zone) {
+		return
+	}
 	service, all := f.fleet.Census(r.Service)
 	for _, change := range f.reach.RecordFailure(now, reachUpstream(r), service, all) {
 		f.applyReachChange(change)
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -41,6 +41,9 @@
 	if x.handover != nil {
 		fields = append(fields, "handedBy", x.handover.From, "handedRouting", x.handover.Version)
 	}
+	if x.pickReq.Regions != nil {
+		fields = append(fields, "regions", strings.Join(x.pickReq.Regions, ","))
+	}
 	x.f.cfg.Log.Log(event.RequestServed, append(fields, x.shortageFields()...)...)
 }
 
@@ -51,7 +54,7 @@
 	if s == nil {
 		return nil
 	}
-	return []any{
+	fields := []any{
 		"usable", s.Usable,
 		"freeSlots", s.FreeSlots,
 		"limited", s.Limited,
@@ -62,6 +65,13 @@
 		"serviceMs", s.ServiceTime.Milliseconds(),
 		"readingAgeMs", s.ReadingAge.Milliseconds(),
 	}
+	if s.Evacuated > 0 {
+		fields = append(fields, "evacuated", s.Evacuated)
+	}
+	if s.Disallowed > 0 {
+		fields = append(fields, "disallowed", s.Disallowed)
+	}
+	return fields
 }
 
 // contactAgeMs returns the age in milliseconds, or -1 for one that is negative.
