Take items without an order from a restored store at once

Cause: an item that was removed before the store was restored is held back for ten seconds, so that a copy does not bring back what has ended. The values of an evacuation have no order, so that one that an operator had written again was held back as well, longer than the five seconds in which it must be in force.

Change: only items whose values have an order are remembered.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -243,9 +243,13 @@
 	return m.remove(effective, now, it)
 }
 
-// remove applies a removal and appends it to effective.
+// remove applies a removal and appends it to effective. It remembers the removed item, so that
+// a restored store does not bring it back, only if its values have an order. Without one, an
+// item of the copy cannot be told from one that an operator has written again.
 func (m *Mirror) remove(effective []magnolialedge.Item, now time.Time, it magnolialedge.Item) []magnolialedge.Item {
-	m.restoration.remember(now, m.items[it.Key])
+	if old := m.items[it.Key]; m.generation(old) != (magnolialedge.Generation{}) {
+		m.restoration.remember(now, old)
+	}
 	delete(m.items, it.Key)
 	delete(m.heldRemovals, it.Key)
 	return append(effective, it)
