Evacuate zones and restrict routes in the stand-ins, and test entries with them

Cause: evacuations and regions must hold at whole entries: under load, at a start, without the store, and while the routes change.

--- a/cmd/standin/routed.go
+++ b/cmd/standin/routed.go
@@ -34,7 +34,9 @@
 	Seed              uint64        `help:"Seed of the random noise and requests." default:"1"`
 	PrintLogs         bool          `name:"logs" help:"Print the logs of the entries."`
 	NoiseInterval     time.Duration `name:"noise-step" help:"Interval at which the noise of each upstream is chosen again." default:"500ms"`
+	AllowedRegions    []string      `name:"regions" help:"Regions whose upstreams may serve the requests; none for all."`
 	cutOptions        `embed:""`
+	evacuateOptions   `embed:""`
 }
 
 const (
@@ -50,7 +52,7 @@
 func (c *routedCommand) Run(ctx context.Context) error {
 	cluster := stand.NewCluster(stand.ClusterConfig{
 		Zones: []string{"east-a", "east-b"}, UpstreamsPerZone: c.UpstreamsPerZone, Slots: c.Slots, WorkDuration: c.ServiceTime,
-		NoiseProbability: c.NoiseProbability, NoiseFactor: noiseFactor, NoiseInterval: c.NoiseInterval, Seed: c.Seed,
+		NoiseProbability: c.NoiseProbability, NoiseFactor: noiseFactor, NoiseInterval: c.NoiseInterval, Seed: c.Seed, AllowedRegions: c.AllowedRegions,
 	})
 	defer cluster.Close()
 	go cluster.Run(ctx)
@@ -65,6 +67,7 @@
 		callers = append(callers, s.CallerAddress)
 	}
 	go c.cutOptions.run(ctx, partitions)
+	go c.evacuateOptions.run(ctx, cluster.Store)
 	headers := platform.HeaderProtocol()
 	fmt.Printf("curl -H 'Host: %s' -H '%s: 1' -H '%s: 1000' http://%s/reads/1\n", stand.Host, headers.RequestID, headers.Deadline, callers[0])
 	if c.RequestsPerSecond <= 0 {
