--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -147,7 +147,7 @@
 	hasUsable := false
 	f.updateShares(now, req.Service)
 	s := f.newSelection(now, req)
-	p := newFilter(now, req)
+	p := f.newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
 		if !p.admits(u) || slices.Contains(req.Tried, u.ID) {
 			continue
@@ -241,7 +241,7 @@
 // hasLocalUpstream reports whether the entry's region has a usable upstream for
 // the request, with or without a free slot.
 func (f *Fleet) hasLocalUpstream(now time.Time, req Request) bool {
-	p := newFilter(now, req)
+	p := f.newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
 		if u.distance != otherRegion && p.admits(u) && !slices.Contains(req.Tried, u.ID) {
 			return true
--- a/core/pick/contact.go
+++ b/core/pick/contact.go
@@ -19,7 +19,7 @@
 // they were last tried, and the time since any of the service responded, or -1 if none has.
 func (f *Fleet) contact(now time.Time, req Request) (unreachable int, age time.Duration) {
 	age = -1
-	p := newFilter(now, req)
+	p := f.newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
 		if u.backoff > 0 && !u.isEvacuated && p.isAllowed(u) {
 			unreachable++
@@ -46,7 +46,7 @@
 // HasUnreachable reports whether some upstream that could serve a request did not respond
 // when it was last tried.
 func (f *Fleet) HasUnreachable(req Request) bool {
-	p := filter{regions: req.Regions}
+	p := filter{regions: f.regionSet(req.Regions)}
 	for _, u := range f.byService[req.Service] {
 		if u.backoff > 0 && u.isInService() && p.isAllowed(u) {
 			return true
--- a/core/pick/filter.go
+++ b/core/pick/filter.go
@@ -11,13 +11,12 @@
 // filter decides which upstreams may serve a request at one moment. All code that chooses or
 // counts upstreams uses it.
 type filter struct {
-	now time.Time
-	// regions lists the only allowed regions, as Request.Regions does.
-	regions []string
+	now     time.Time
+	regions regionSet
 }
 
-func newFilter(now time.Time, req Request) filter {
-	return filter{now: now, regions: req.Regions}
+func (f *Fleet) newFilter(now time.Time, req Request) filter {
+	return filter{now: now, regions: f.regionSet(req.Regions)}
 }
 
 // admits reports whether an upstream is usable, allowed and open.
@@ -33,7 +32,7 @@
 
 // isAllowed reports whether the request may be served in the region of an upstream.
 func (p filter) isAllowed(u *upstream) bool {
-	return p.regions == nil || magnolialedge.PermitsRegion(p.regions, u.region)
+	return p.regions&u.region != 0
 }
 
 // isOpen reports whether the limit of an upstream, if there is one, leaves this entry a share.
@@ -91,7 +90,7 @@
 // hasUsable reports whether the service has an upstream that may serve the request and to
 // which it was not sent before.
 func (f *Fleet) hasUsable(now time.Time, req Request) bool {
-	p := newFilter(now, req)
+	p := f.newFilter(now, req)
 	return slices.ContainsFunc(f.byService[req.Service], func(u *upstream) bool {
 		return p.admits(u) && !slices.Contains(req.Tried, u.ID)
 	})
--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -51,6 +51,8 @@
 	newcomerAdmittedAt map[string]time.Time
 	// formerNotices holds the notices of removed upstreams, by ID.
 	formerNotices map[string]formerNotice
+	// regionSets holds the set of each region alone.
+	regionSets map[string]regionSet
 	// evacuated holds the evacuated availability zones.
 	evacuated map[string]bool
 	rand      *rand.Rand
@@ -67,6 +69,7 @@
 
 		newcomerAdmittedAt: map[string]time.Time{},
 		formerNotices:      map[string]formerNotice{},
+		regionSets:         newRegionSets(cfg.Regions),
 		evacuated:          map[string]bool{},
 		rand:               rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x5bd1e995)),
 	}
@@ -90,7 +93,7 @@
 		f.startedAt = now
 	}
 	u = newUpstream(now, r, f.distanceTo(r.Zone))
-	u.region = f.cfg.Regions[r.Zone]
+	u.region = f.regionOf(r.Zone)
 	u.isEvacuated = f.evacuated[r.Zone]
 	f.restoreNotice(u)
 	u.isNewcomer = now.Sub(f.startedAt) > initialListingTime
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -107,7 +107,7 @@
 // request takes requests again, and false if none is paused.
 func (f *Fleet) earliestReturn(now time.Time, req Request) (time.Duration, bool) {
 	wait, found := time.Duration(0), false
-	p := newFilter(now, req)
+	p := f.newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
 		if !u.isInService() || !p.isAllowed(u) || !u.isPaused(now) {
 			continue
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -173,7 +173,7 @@
 func (f *Fleet) expectedWait(now time.Time, req Request, ahead int) (wait, serviceTime time.Duration) {
 	requestsPerNano := 0.0
 	contention := f.contentionOf(req.Service)
-	p := newFilter(now, req)
+	p := f.newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
 		if !p.admits(u) || u.health.StateAt(now) == proc.Probation {
 			continue
@@ -224,7 +224,7 @@
 	s.Unreachable, s.ContactAge = f.contact(now, req)
 	contention := f.contentionOf(req.Service)
 	age, readings := time.Duration(0), 0
-	p := newFilter(now, req)
+	p := f.newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
 		switch {
 		case u.isEvacuated:
--- a/core/pick/reserve.go
+++ b/core/pick/reserve.go
@@ -16,7 +16,7 @@
 		return true
 	}
 	total, free := 0.0, 0.0
-	p := newFilter(now, req)
+	p := f.newFilter(now, req)
 	for _, u := range f.byService[req.Service] {
 		if u.distance == otherRegion || !p.admits(u) || !p.isWithinQuota(u) || isTooSlowForTarget(req, s.serviceTimeNanos*u.slowdownAt(now)) {
 			continue
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -46,7 +46,7 @@
 	distance  distance
 	// region is that of the upstream's zone, and isEvacuated is set while the zone is
 	// evacuated.
-	region      string
+	region      regionSet
 	isEvacuated bool
 	warmUpUntil time.Time
 	// inFlight is the number of requests in flight from this entry.
