Limit the requests to cold upstreams by shares of their service's limit

Cause: a cold upstream crashes well above cold-per-s requests a second from all entries together, and entries only counted it as twice as slow. Change: while an upstream is cold and its service has ColdPerSecond, core/pick keeps that limit with proc.Quota. It starts empty, ends by itself, and the lower one of it and an announced limit applies. Half of ColdOverage of it is shared, so that two different lists of entries keep the bound. Such an upstream is not probed, and its slower responses do not enter the usual slowdown, the service time or the contention.

--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -107,7 +107,8 @@
 	Local bool
 	// NeedsConn is true if there is no unused connection to the upstream.
 	NeedsConn bool
-	// IsLimited is true if the upstream announces a limit, so that it is not probed.
+	// IsLimited is true if the upstream announces a limit, or is cold with a limit, so that
+	// it is not probed.
 	IsLimited bool
 }
 
@@ -169,7 +170,7 @@
 	}
 	out := make([]Candidate, 0, len(best))
 	for _, e := range best {
-		out = append(out, e.candidate())
+		out = append(out, e.candidate(now))
 	}
 	return out, hasUsable
 }
@@ -311,7 +312,7 @@
 	return nanos
 }
 
-func (e estimate) candidate() Candidate {
+func (e estimate) candidate(now time.Time) Candidate {
 	return Candidate{
 		Registration:  e.upstream.Registration,
 		ServiceTime:   time.Duration(e.serviceTimeNanos),
@@ -324,7 +325,7 @@
 		Local:         e.upstream.distance != otherRegion,
 		TakesLastSlot: e.takesLastSlot,
 		NeedsConn:     e.needsConn,
-		IsLimited:     e.upstream.quota != nil,
+		IsLimited:     e.upstream.isLimited(now),
 		Cost:          time.Duration(e.costNanos),
 	}
 }
--- a/core/pick/fleet.go
+++ b/core/pick/fleet.go
@@ -28,7 +28,14 @@
 	// Quotas divides the limits that upstreams announce among the entries. If it is nil,
 	// this entry may use them whole.
 	Quotas magnolialedge.QuotaSharer
-	Seed   uint64
+	// ColdQuotas divides the limits of cold upstreams in the same way. It must not depend on
+	// which entries this one reaches, since entries that lose sight of each other would
+	// each take the shares of the others.
+	ColdQuotas magnolialedge.QuotaSharer
+	// ColdOverage is the factor by which the requests to a cold upstream may exceed the
+	// limit of its service; 0 means defaultColdOverage.
+	ColdOverage float64
+	Seed        uint64
 }
 
 // Fleet tracks the state of all registered upstreams as one entry sees it:
@@ -51,7 +58,11 @@
 	newcomerAdmittedAt map[string]time.Time
 	// formerNotices holds the notices of removed upstreams, by ID.
 	formerNotices map[string]formerNotice
-	rand          *rand.Rand
+	// coldLimits holds the limits of cold upstreams by service. coldIDs holds the IDs of
+	// cold upstreams with a limit; the value is true once ColdChanges has returned it.
+	coldLimits map[string]float64
+	coldIDs    map[string]bool
+	rand       *rand.Rand
 }
 
 // NewFleet returns a Fleet without upstreams.
@@ -65,6 +76,7 @@
 
 		newcomerAdmittedAt: map[string]time.Time{},
 		formerNotices:      map[string]formerNotice{},
+		coldIDs:            map[string]bool{},
 		rand:               rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x5bd1e995)),
 	}
 }
@@ -79,7 +91,9 @@
 func (f *Fleet) Register(now time.Time, r magnolialedge.Registration) {
 	u, ok := f.byID[r.ID]
 	if ok && u.Service == r.Service && u.Address == r.Address && u.Zone == r.Zone {
+		previous := u.Registration
 		u.register(now, r)
+		f.registerCold(now, u, previous)
 		return
 	}
 	f.Remove(now, r.ID)
@@ -87,10 +101,12 @@
 		f.startedAt = now
 	}
 	u = newUpstream(now, r, f.distanceTo(r.Zone))
+	previous := f.formerNotices[r.ID].run
 	f.restoreNotice(u)
 	u.isNewcomer = now.Sub(f.startedAt) > initialListingTime
 	f.byID[r.ID] = u
 	f.byService[r.Service] = append(f.byService[r.Service], u)
+	f.registerCold(now, u, previous)
 }
 
 // initialListingTime is the time after the first registration within which
@@ -145,6 +161,9 @@
 	if u.quota != nil {
 		u.quota.Take(now)
 	}
+	if u.isCold(now) {
+		u.cold.Take(now)
+	}
 	if u.isNewcomer {
 		u.isNewcomer = false
 		f.newcomerAdmittedAt[u.Service] = now
--- a/core/pick/newcomer.go
+++ b/core/pick/newcomer.go
@@ -21,7 +21,11 @@
 	if !u.isNewcomer || now.Sub(u.registeredAt) > newcomerWindow {
 		return false
 	}
-	if u.distance == otherRegion || (u.distance == sameRegion && f.hasSameZoneUpstream(u.Service)) {
+	if u.distance == otherRegion {
+		return false
+	}
+	// Only the holders of a share may send to a cold upstream, whatever their zone.
+	if u.distance == sameRegion && !u.isCold(now) && f.hasSameZoneUpstream(u.Service) {
 		return false
 	}
 	return now.Sub(f.newcomerAdmittedAt[u.Service]) >= newcomerInterval
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -18,6 +18,10 @@
 	isReturning bool
 	// quota is set while the upstream announces a limit.
 	quota *quota
+	// coldUntil is the end of the cold time, and cold its limit, or nil if the service has
+	// none or the cold time is over.
+	coldUntil time.Time
+	cold      *cold
 }
 
 // formerNotice is the notice of an upstream that was removed.
@@ -85,10 +89,10 @@
 }
 
 // MayProbe reports whether a probe may be sent to an upstream: one that is leaving,
-// asks to back off or announces a limit gets none.
+// asks to back off, announces a limit or is cold with a limit gets none.
 func (f *Fleet) MayProbe(now time.Time, id string) bool {
 	u, ok := f.byID[id]
-	return ok && u.quota == nil && !u.isLeaving && !u.isPaused(now)
+	return ok && !u.isLimited(now) && !u.isLeaving && !u.isPaused(now)
 }
 
 // recordExecution records that the upstream executed a request that was sent at sentAt.
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -180,7 +180,7 @@
 		if u.quota != nil {
 			rate = min(rate, u.quota.Rate()/float64(time.Second))
 		}
-		requestsPerNano += rate
+		requestsPerNano += u.coldRate(now, rate)
 	}
 	if requestsPerNano == 0 {
 		return req.Deadline.Sub(now), 0
--- a/core/pick/quota.go
+++ b/core/pick/quota.go
@@ -128,19 +128,19 @@
 			u.quota.sharedAt = now
 			u.quota.SetShare(now, f.quotaShare(now, u))
 		}
+		f.updateColdShare(now, u)
 	}
 }
 
-// isOpen reports whether the upstream's limit, if it announces one, leaves this entry a
-// share.
+// isOpen reports whether the limits of the upstream, the one that it announces and the one
+// while it is cold, leave this entry a share.
 func (u *upstream) isOpen(now time.Time) bool {
-	return u.quota == nil || u.quota.IsOpen(now)
+	return (u.quota == nil || u.quota.IsOpen(now)) && (!u.isCold(now) || u.cold.IsOpen(now))
 }
 
-// isWithinQuota reports whether the upstream's limit, if it announces one, permits a request
-// from this entry now.
+// isWithinQuota reports whether the same limits permit a request from this entry now.
 func (u *upstream) isWithinQuota(now time.Time) bool {
-	return u.quota == nil || u.quota.IsAvailable(now)
+	return (u.quota == nil || u.quota.IsAvailable(now)) && (!u.isCold(now) || u.cold.IsAvailable(now))
 }
 
 // reserve counts a request that a waiter is about to send, until release.
@@ -149,6 +149,9 @@
 	if u.quota != nil {
 		u.quota.Reserve()
 	}
+	if u.cold != nil {
+		u.cold.Reserve()
+	}
 }
 
 func (u *upstream) release() {
@@ -156,4 +159,7 @@
 	if u.quota != nil {
 		u.quota.Release()
 	}
+	if u.cold != nil {
+		u.cold.Release()
+	}
 }
--- a/core/pick/result.go
+++ b/core/pick/result.go
@@ -72,6 +72,13 @@
 		return
 	}
 	serviceTime := f.ServiceTimeNanos(result.Request)
+	if u.isCold(now) {
+		u.recordColdSlowdown(took / serviceTime)
+		return
+	}
+	if f.ranCold(u, now.Add(-result.Duration)) {
+		return
+	}
 	if u.reportsNoLoad {
 		u.recordSlowdown(now, took/serviceTime)
 		f.serviceTimes[result.Request.serviceTimeKey()] = serviceTime + serviceTimeGain*(took-serviceTime)
--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -116,6 +116,9 @@
 // slowdownAt estimates the present slowdown from the last reading and the usual
 // slowdown.
 func (u *upstream) slowdownAt(now time.Time) float64 {
+	if u.isCold(now) {
+		return u.cold.slowdown
+	}
 	s := u.usualSlowdown
 	if !u.loadReadAt.IsZero() {
 		weight := decay(now.Sub(u.loadReadAt), slowdownTimeConstant)
@@ -187,7 +190,11 @@
 	if r.Slots > 0 {
 		u.Slots = r.Slots
 	}
-	if r.Slowdown > 0 {
+	switch {
+	case r.Slowdown <= 0:
+	case u.isCold(now):
+		u.recordColdSlowdown(r.Slowdown)
+	default:
 		u.slowdown = r.Slowdown
 		u.usualSlowdown += usualSlowdownGain * (r.Slowdown - u.usualSlowdown)
 	}
@@ -214,6 +221,10 @@
 	u.lastSeenAt = now
 	u.loadReadAt = now
 	u.othersInFlight = 0
+	if u.isCold(now) {
+		u.recordColdSlowdown(slowdown)
+		return
+	}
 	u.slowdown = min(max(slowdown, minMeasuredSlowdown), maxMeasuredSlowdown)
 	u.usualSlowdown += usualSlowdownGain * (u.slowdown - u.usualSlowdown)
 }
