Learn of cold upstreams from health responses and other entries

Cause: an upstream may become cold again at any moment, and says so only in health responses. Change: link.Report has ColdRemaining of health responses, up to an hour; other values are logged as an invalid notice. The forwarder applies it, tells the other entries, dispatches waiting requests at each change, and logs begin and end. The report goes to the path of limit reports with perSecond -1: an entry of an earlier release answers 400 and keeps the announced limit that it knows. Shares of cold limits come from the listed entries of protocol 1, reachable or not.

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -53,6 +53,8 @@
 	IsolationChanged        = Event{3115, "isolationChanged", Warning, "This entry reaches no upstream of any service, or reaches one again; callers are steered to others meanwhile."}
 	HandoverLost            = Event{3116, "handoverLost", Warning, "The connection to another entry broke while it had a request of this one."}
 	HandoverInvalid         = Event{3117, "handoverInvalid", Warning, "A request that another entry handed over was refused because its description is missing or invalid. At most one line a minute and peer."}
+	UpstreamCold            = Event{3118, "upstreamCold", Info, "An upstream is cold, and its service limits the requests to it from all entries together; `ownRate` is the part of this entry."}
+	UpstreamColdEnded       = Event{3119, "upstreamColdEnded", Info, "An upstream is no longer cold, so that no such limit applies."}
 	KeyTableFull            = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver              = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed          = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
@@ -75,7 +77,7 @@
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
 		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, UpstreamLossUnconfirmed,
-		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid, KeyTableFull, HandedOver,
+		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid, UpstreamCold, UpstreamColdEnded, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -145,7 +145,7 @@
 		c.broken = true
 		return Report{}, ErrWrongInstance
 	}
-	return c.newReport(resp), nil
+	return c.newHealthReport(resp), nil
 }
 
 // Request is a request to an upstream.
--- a/io/link/report.go
+++ b/io/link/report.go
@@ -26,6 +26,10 @@
 	// RetryAfter is the time for which an upstream that is unavailable asks this entry to
 	// back off, or 0.
 	RetryAfter time.Duration
+	// ColdRemaining is how long the upstream stays cold; it is valid if HasCold is set. Only
+	// health responses carry it.
+	ColdRemaining time.Duration
+	HasCold       bool
 	// NoticeErr is set if the response has an invalid header for one of the fields
 	// above, except Limit.
 	NoticeErr error
@@ -44,6 +48,41 @@
 	return r
 }
 
+// newHealthReport returns the report of a health response.
+func (c *Conn) newHealthReport(resp *http.Response) Report {
+	r := c.newReport(resp)
+	values := resp.Header.Values(c.headers.ColdRemaining)
+	if len(values) == 0 {
+		return r
+	}
+	remaining, err := parseColdRemaining(values)
+	if err != nil {
+		r.NoticeErr = errors.CombineErrors(r.NoticeErr, err)
+		return r
+	}
+	r.ColdRemaining, r.HasCold = remaining, true
+	return r
+}
+
+// maxColdRemaining is the longest cold time that is accepted. A longer one is a mistake of
+// the upstream.
+const maxColdRemaining = time.Hour
+
+var errInvalidCold = errors.New("the response does not name one valid cold time")
+
+// parseColdRemaining parses the values of the header for the cold time: milliseconds, which
+// may have a fraction.
+func parseColdRemaining(values []string) (time.Duration, error) {
+	if len(values) != 1 {
+		return 0, errors.Wrapf(errInvalidCold, "%d values", len(values))
+	}
+	ms, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
+	if err != nil || math.IsNaN(ms) || ms < 0 || ms > float64(maxColdRemaining.Milliseconds()) {
+		return 0, errors.Wrapf(errInvalidCold, "value %.40q", values[0])
+	}
+	return time.Duration(ms * float64(time.Millisecond)), nil
+}
+
 // maxRetryAfter limits the time for which an upstream is left alone, so that a mistake
 // of the upstream does not exclude it for good.
 const maxRetryAfter = time.Hour
--- a/io/link/report_test.go
+++ b/io/link/report_test.go
@@ -29,3 +29,21 @@
 		require.Zero(t, d)
 	}
 }
+
+func TestParseColdRemaining(t *testing.T) {
+	for value, expected := range map[string]time.Duration{
+		"0":       0,
+		"2750":    2750 * time.Millisecond,
+		" 0.5 ":   500 * time.Microsecond,
+		"3600000": time.Hour,
+	} {
+		d, err := parseColdRemaining([]string{value})
+		require.NoError(t, err, value)
+		require.Equal(t, expected, d, value)
+	}
+	for _, values := range [][]string{{""}, {"-1"}, {"NaN"}, {"Inf"}, {"1e300"}, {"3600001"}, {"cold"}, {"1", "1"}} {
+		d, err := parseColdRemaining(values)
+		require.ErrorIs(t, err, errInvalidCold, "%v", values)
+		require.Zero(t, d)
+	}
+}
--- a/io/node/cluster_test.go
+++ b/io/node/cluster_test.go
@@ -33,7 +33,9 @@
 	version    int
 	routes     []string
 	requestSeq int
-	mu         sync.Mutex
+	// coldPerSecond is the limit of cold upstreams, or 0.
+	coldPerSecond float64
+	mu            sync.Mutex
 }
 
 // testEntry is a running entry.
@@ -97,7 +99,7 @@
 		}
 		routes += r
 	}
-	tc.store.Put("op/config", []byte(fmt.Sprintf(`{"version":"r%d","routes":[%s],"services":[{"name":"svc","health-path":"/health","max-conns":100},{"name":"other","health-path":"/health","max-conns":100}],"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":300,"idle-timeout-ms":5000}}`, tc.version, routes)))
+	tc.store.Put("op/config", []byte(fmt.Sprintf(`{"version":"r%d","routes":[%s],"services":[{"name":"svc","health-path":"/health","max-conns":100,"cold-per-s":%g},{"name":"other","health-path":"/health","max-conns":100}],"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":300,"idle-timeout-ms":5000}}`, tc.version, routes, tc.coldPerSecond)))
 }
 
 func (tc *testCluster) addUpstream(id string) *stand.Upstream {
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -84,6 +84,8 @@
 	// Isolated is set while the entry reaches no upstream.
 	Isolated bool `json:"isolated"`
 	Members  any  `json:"members"`
+	// Cold holds the upstreams that are cold, with this entry's share of their limits.
+	Cold []coldUpstream `json:"cold,omitempty"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -100,6 +102,7 @@
 			Leaving:  n.isLeaving.Load(),
 			Isolated: n.forwarder.IsIsolated(),
 			Members:  n.members.list(),
+			Cold:     n.coldUpstreams(),
 		})
 	})
 	return e
--- a/io/node/limit.go
+++ b/io/node/limit.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"magnolialedge"
+	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
 )
 
@@ -25,6 +26,20 @@
 	StartedAt int64   `json:"startedAt"`
 	PerSecond float64 `json:"perSecond"`
 	Ended     bool    `json:"ended,omitempty"`
+	// ColdMs is set in a report that the upstream is cold for this time, or no longer if it
+	// is 0. It says nothing about an announced limit; PerSecond is then coldReportPerSecond.
+	ColdMs *int64 `json:"coldMs,omitempty"`
+}
+
+// coldReportPerSecond is invalid, so that an entry of a release that does not know ColdMs
+// refuses the report. Any valid value, or Ended, would change an announced limit there.
+const coldReportPerSecond = -1
+
+// reportCold notifies all other entries that an upstream is cold for the remaining time, or
+// no longer if it is 0.
+func (n *Node) reportCold(r magnolialedge.Registration, remaining time.Duration) {
+	ms := remaining.Milliseconds()
+	n.broadcast(limitReportPath, limitReport{Upstream: r.ID, StartedAt: r.StartedAtUnixMs, PerSecond: coldReportPerSecond, ColdMs: &ms})
 }
 
 // reportLimit notifies all other entries of a limit.
@@ -35,7 +50,12 @@
 // handleLimitReport applies a limit that a peer reports.
 func (n *Node) handleLimitReport(c echo.Context) error {
 	var report limitReport
-	if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxPeerMessageBytes)).Decode(&report); err != nil || report.PerSecond < 0 {
+	err := json.NewDecoder(io.LimitReader(c.Request().Body, maxPeerMessageBytes)).Decode(&report)
+	if err == nil && report.ColdMs != nil && *report.ColdMs >= 0 && *report.ColdMs <= pick.MaxColdTime.Milliseconds() {
+		n.forwarder.RecordPeerCold(report.Upstream, report.StartedAt, time.Duration(*report.ColdMs)*time.Millisecond)
+		return c.NoContent(http.StatusNoContent)
+	}
+	if err != nil || report.PerSecond < 0 {
 		return c.NoContent(http.StatusBadRequest)
 	}
 	n.forwarder.RecordPeerLimit(report.Upstream, report.StartedAt, magnolialedge.RateLimit{IsSet: !report.Ended, PerSecond: report.PerSecond})
@@ -72,13 +92,51 @@
 
 // QuotaShare implements magnolialedge.QuotaSharer.
 func (q *quotaSharer) QuotaShare(now time.Time, r magnolialedge.Registration) magnolialedge.QuotaShare {
+	return q.shareAmong(now, q.members.reachable(now), r)
+}
+
+// shareAmong returns this entry's share in a limit that the given entries divide.
+func (q *quotaSharer) shareAmong(now time.Time, all []magnolialedge.Instance, r magnolialedge.Registration) magnolialedge.QuotaShare {
 	q.mu.Lock()
 	hosts := q.hosts[r.Service]
 	q.mu.Unlock()
 	place := proc.Place{Region: q.regions[r.Zone], Zone: r.Zone}
-	share := proc.ShareQuota(q.members.reachable(now), q.members.self.Name, r, place, hosts)
+	share := proc.ShareQuota(all, q.members.self.Name, r, place, hosts)
 	if now.Sub(q.start) < proc.MemberSettleTime {
 		share.Fraction = 0
 	}
 	return share
 }
+
+// coldProtocol is the first protocol of entries that keep the limits of cold upstreams.
+const coldProtocol = 1
+
+// coldSharer divides the limits of cold upstreams among the listed entries
+// that keep them. One that cannot
+// be reached keeps its share, since it may still reach the upstream.
+type coldSharer struct {
+	*quotaSharer
+}
+
+// QuotaShare implements magnolialedge.QuotaSharer.
+func (s coldSharer) QuotaShare(now time.Time, r magnolialedge.Registration) magnolialedge.QuotaShare {
+	all := slices.DeleteFunc(s.members.list(), func(in magnolialedge.Instance) bool { return in.Protocol < coldProtocol })
+	return s.shareAmong(now, all, r)
+}
+
+// coldUpstream describes an upstream that is cold, in the dump.
+type coldUpstream struct {
+	Upstream    string `json:"upstream"`
+	Service     string `json:"service"`
+	RemainingMs int64  `json:"remainingMs"`
+	// OwnRate is the number of requests per second that this entry may send.
+	OwnRate float64 `json:"ownRate"`
+}
+
+func (n *Node) coldUpstreams() []coldUpstream {
+	var out []coldUpstream
+	for _, c := range n.forwarder.ColdUpstreams() {
+		out = append(out, coldUpstream{Upstream: c.ID, Service: c.Service, RemainingMs: c.Remaining.Milliseconds(), OwnRate: c.Rate})
+	}
+	return out
+}
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -17,6 +17,7 @@
 		{"store_revision", "Revision of the store that the entry's items reflect.", func() float64 { return float64(n.follower.Revision()) }},
 		{"store_era", "Number of times that the store was restored, as far as the entry knows.", func() float64 { return float64(n.follower.Era()) }},
 		{"upstream_limits", "Upstreams that announce a limit on the requests from all entries.", func() float64 { return float64(n.forwarder.LimitedUpstreams()) }},
+		{"upstreams_cold", "Upstreams that are cold and whose service limits the requests to them.", func() float64 { return float64(len(n.forwarder.ColdUpstreams())) }},
 		{"upstreams_unreachable", "Upstreams that did not respond to this entry when it last tried them.", func() float64 { return float64(n.forwarder.UnreachableUpstreams()) }},
 		{"isolated", "1 while this entry reaches no upstream.", func() float64 { return boolGauge(n.forwarder.IsIsolated()) }},
 		{"store_age_seconds", "Time since the store was last reached, by the entry or by its source.", func() float64 { return n.follower.Staleness(time.Now()).Seconds() }},
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -131,6 +131,8 @@
 			TransferCosts: pick.TransferCosts{CrossZonePerKB: crossZonePerKB, CrossRegionPerKB: crossRegionPerKB},
 			Conns:         n.pool,
 			Quotas:        n.quotas,
+			ColdQuotas:    coldSharer{n.quotas},
+			ColdOverage:   s.ColdOverage,
 			Seed:          uint64(n.start.UnixNano()),
 		}),
 		Pool:        n.pool,
@@ -141,6 +143,7 @@
 		Probes:      proc.ProbeLimits{PerUpstreamPerSecond: s.MaxProbesPerSec},
 		ReportCrash: n.broadcastCrash,
 		ReportLimit: n.reportLimit,
+		ReportCold:  n.reportCold,
 	})
 	n.callerServer = front.NewServer(front.Config{
 		Handler:            n.forwarder,
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -48,6 +48,9 @@
 	// ReportLimit notifies the other entries that an upstream begins or ceases to announce
 	// a limit.
 	ReportLimit func(magnolialedge.Registration, magnolialedge.RateLimit)
+	// ReportCold notifies the other entries that an upstream is cold for the remaining time,
+	// or no longer if that is 0. It may be nil.
+	ReportCold func(r magnolialedge.Registration, remaining time.Duration)
 }
 
 // Forwarder proxies the requests of callers to upstreams. It implements
@@ -85,6 +88,8 @@
 	// invalidNoticeLoggedAt holds the times of the last log lines about invalid headers,
 	// by upstream ID.
 	invalidNoticeLoggedAt map[string]time.Time
+	// coldTimer runs until the next end of a cold time, or is nil.
+	coldTimer *time.Timer
 }
 
 // NewForwarder returns a Forwarder without routes.
@@ -115,6 +120,7 @@
 		return false
 	}
 	f.routes = route.NewTable(r, f.routes)
+	f.setColdLimits(r)
 	return true
 }
 
@@ -123,6 +129,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fleet.Register(time.Now(), r)
+	f.checkColdTime(r)
+	f.applyColdChanges("registration")
 	f.resizeProbeBudget()
 	f.dispatchQueue(r.Service)
 }
--- a/io/serve/notice.go
+++ b/io/serve/notice.go
@@ -16,6 +16,9 @@
 // requests to an upstream. requestID is empty for a health check.
 func (f *Forwarder) recordReport(r magnolialedge.Registration, sentAt time.Time, requestID string, report link.Report) {
 	f.recordLimit(r, sentAt, report)
+	if report.HasCold {
+		f.recordCold(r, sentAt, report.ColdRemaining)
+	}
 	if report.NoticeErr != nil {
 		f.mu.Lock()
 		f.logInvalidNotice(time.Now(), r, report.NoticeErr)
--- a/io/serve/reach.go
+++ b/io/serve/reach.go
@@ -112,6 +112,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
+	if f.coldTimer != nil {
+		f.coldTimer.Stop()
+	}
 }
 
 // probeUntilReached probes the upstreams of a service, one at a time, over new
