--- a/io/node/cluster_test.go
+++ b/io/node/cluster_test.go
@@ -35,7 +35,9 @@
 	requestSeq int
 	// coldPerSecond is the limit of cold upstreams, or 0.
 	coldPerSecond float64
-	mu            sync.Mutex
+	// metricsPort is the port for metrics and dumps of the next entry, or 0.
+	metricsPort int
+	mu          sync.Mutex
 }
 
 // testEntry is a running entry.
@@ -181,6 +183,8 @@
 		NewStore:  platform.OpenStore,
 		LogWriter: e.logs,
 
+		MetricsPort: tc.metricsPort,
+
 		UpstreamDialer: e.partition,
 	})
 	require.NoError(tc.t, err)
--- a/io/node/cold_test.go
+++ b/io/node/cold_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -102,3 +104,36 @@
 		}, 2*time.Second, 20*time.Millisecond, tc.entries[i].logs.String())
 	}
 }
+
+// Guards against a report that a release without cold limits takes for an announced limit
+// or its end, and against a dump or metric that does not show a cold upstream.
+func TestReportOfAColdUpstreamSaysNothingOfAnAnnouncedLimit(t *testing.T) {
+	tc := newTestCluster(t)
+	tc.coldPerSecond = testColdPerSecond
+	tc.putConfig()
+	tc.metricsPort = freePort(t, "127.0.0.2")
+	e := tc.addEntry("e2", "127.0.0.2")
+	ask := func(method string, port int, path, body string) (int, string) {
+		req, err := http.NewRequestWithContext(t.Context(), method, fmt.Sprintf("http://%s:%d%s", e.settings.IP, port, path), strings.NewReader(body))
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode, string(text)
+	}
+	report := func(body string) int {
+		status, _ := ask(http.MethodPost, e.settings.FirstPort, "/v1/limit", body)
+		return status
+	}
+	require.Equal(t, http.StatusBadRequest, report(`{"upstream":"u1","startedAt":1,"perSecond":-1}`), "as a reader without coldMs")
+	require.Equal(t, http.StatusBadRequest, report(`{"upstream":"u1","startedAt":1,"perSecond":-1,"coldMs":-5}`))
+	require.Equal(t, http.StatusBadRequest, report(`{"upstream":"u1","startedAt":1,"perSecond":-1,"coldMs":3600001}`))
+	require.Equal(t, http.StatusNoContent, report(`{"upstream":"u1","startedAt":1,"perSecond":-1,"coldMs":60000}`))
+	_, dump := ask(http.MethodGet, tc.metricsPort, "/v1/dump", "")
+	require.Contains(t, dump, `"cold":[{"upstream":"u1","service":"svc"`)
+	_, metrics := ask(http.MethodGet, tc.metricsPort, "/metrics", "")
+	require.Contains(t, metrics, "magnolialedge_upstreams_cold 1")
+	require.Contains(t, metrics, "magnolialedge_upstream_limits 0")
+}
