Merge limits for cold upstreams

The filter of upstreams asks for both limits; the stand-in of the store takes its routing configuration as one value, since regions and cold limits were added side by side.

--- a/core/pick/filter.go
+++ b/core/pick/filter.go
@@ -35,20 +35,20 @@
 	return p.regions&u.region != 0
 }
 
-// isOpen reports whether the limit of an upstream, if there is one, leaves this entry a share.
+// isOpen reports whether the limits of an upstream, the one that it announces and the one
+// while it is cold, leave this entry a share.
 func (p filter) isOpen(u *upstream) bool {
-	return u.quota == nil || u.quota.IsOpen(p.now)
+	return (u.quota == nil || u.quota.IsOpen(p.now)) && (!u.isCold(p.now) || u.cold.IsOpen(p.now))
 }
 
-// isWithinQuota reports whether the limit of an upstream, if there is one, permits a request
-// from this entry now.
+// isWithinQuota reports whether the same limits permit a request from this entry now.
 func (p filter) isWithinQuota(u *upstream) bool {
-	return u.quota == nil || u.quota.IsAvailable(p.now)
+	return (u.quota == nil || u.quota.IsAvailable(p.now)) && (!u.isCold(p.now) || u.cold.IsAvailable(p.now))
 }
 
 // mayProbe reports whether a probe may be sent to an upstream, which is a request too.
 func (p filter) mayProbe(u *upstream) bool {
-	return u.quota == nil && !u.isLeaving && !u.isEvacuated && !u.isPaused(p.now)
+	return !u.isLimited(p.now) && !u.isLeaving && !u.isEvacuated && !u.isPaused(p.now)
 }
 
 // isInService reports whether an upstream gets requests as far as its operators and itself
--- a/core/pick/quota.go
+++ b/core/pick/quota.go
@@ -128,6 +128,7 @@
 			u.quota.sharedAt = now
 			u.quota.SetShare(now, f.quotaShare(now, u))
 		}
+		f.updateColdShare(now, u)
 	}
 }
 
@@ -137,6 +138,9 @@
 	if u.quota != nil {
 		u.quota.Reserve()
 	}
+	if u.cold != nil {
+		u.cold.Reserve()
+	}
 }
 
 func (u *upstream) release() {
@@ -144,4 +148,7 @@
 	if u.quota != nil {
 		u.quota.Release()
 	}
+	if u.cold != nil {
+		u.cold.Release()
+	}
 }
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -86,7 +86,9 @@
 	Isolated bool `json:"isolated"`
 	// Evacuated lists the evacuated availability zones.
 	Evacuated []evacuatedZone `json:"evacuated"`
-	Members   any             `json:"members"`
+	// Cold holds the upstreams that are cold, with this entry's share of their limits.
+	Cold    []coldUpstream `json:"cold,omitempty"`
+	Members any            `json:"members"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -104,6 +106,7 @@
 			Isolated:  n.forwarder.IsIsolated(),
 			Evacuated: n.evacuations.list(),
 			Members:   n.members.list(),
+			Cold:      n.coldUpstreams(),
 		})
 	})
 	return e
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -132,6 +132,8 @@
 			TransferCosts: pick.TransferCosts{CrossZonePerKB: crossZonePerKB, CrossRegionPerKB: crossRegionPerKB},
 			Conns:         n.pool,
 			Quotas:        n.quotas,
+			ColdQuotas:    newColdSharer(n.quotas),
+			ColdOverage:   s.ColdOverage,
 			Seed:          uint64(n.start.UnixNano()),
 		}),
 		Pool:        n.pool,
@@ -142,6 +144,7 @@
 		Probes:      proc.ProbeLimits{PerUpstreamPerSecond: s.MaxProbesPerSec},
 		ReportCrash: n.broadcastCrash,
 		ReportLimit: n.reportLimit,
+		ReportCold:  n.reportCold,
 	})
 	n.callerServer = front.NewServer(front.Config{
 		Handler:            n.forwarder,
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -88,7 +88,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	cl.lastVersion++
-	cl.store.Configure(cl.lastVersion, 3*serviceTime)
+	cl.store.Configure(platform.RoutingOptions{Version: cl.lastVersion, LatencyTarget: 3 * serviceTime})
 	cl.configVersions = append(cl.configVersions, configVersion{number: cl.lastVersion, at: time.Now()})
 }
 
@@ -96,7 +96,7 @@
 func (cl *cluster) rewriteConfig() {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.store.Configure(cl.lastVersion, 3*serviceTime)
+	cl.store.Configure(platform.RoutingOptions{Version: cl.lastVersion, LatencyTarget: 3 * serviceTime})
 }
 
 // registerUpstreamsAgain repeats the last registration or removal of each upstream.
