Test a zone that is switched off, a restored store and blocked classes

Change: the blocked waiter of that test comes first; tests of a zone that is switched off during its evacuation and of a store that returns from copies.

--- a/core/pick/filter_test.go
+++ b/core/pick/filter_test.go
@@ -134,8 +134,8 @@
 	f.BeginAttempt(at(0), "here")
 	f.BeginAttempt(at(0), "far")
 	q := &recordingQueue{woken: map[string]WakeReason{}}
-	require.True(t, q.push(at(0), f, "west", requestIn("west")))
 	require.True(t, q.push(at(0), f, "east", requestIn("east")))
+	require.True(t, q.push(at(0), f, "west", requestIn("west")))
 	f.EndAttempt(at(5), AttemptResult{UpstreamID: "far", Request: requestIn("west"), Status: AttemptCanceled})
 	q.Dispatch(at(5), f)
 	require.Equal(t, []string{"west"}, q.order)
--- a/io/node/evacuation_test.go
+++ b/io/node/evacuation_test.go
@@ -137,6 +137,55 @@
 	require.Equal(t, before, contacts(evacuated...))
 }
 
+// Load: a zone is switched off during its evacuation, while requests are in flight there.
+// Guards against an entry that takes their loss for crashes, and refuses the request
+// afterwards, or for lost links.
+func TestZoneThatIsSwitchedOffDuringItsEvacuation(t *testing.T) {
+	tc := newTestCluster(t)
+	evacuated := tc.upstreams[:2:2]
+	tc.setResponseMode(stand.HangDuringRun)
+	for range 6 {
+		go func() {
+			_, _ = sendTo(t.Context(), http.DefaultClient, tc.entries[0].settings.CallerAddress, "POST", "/writes/popular", "x", tc.nextID())
+		}()
+	}
+	require.Eventually(t, func() bool { return contactsOf(evacuated) >= 6 }, time.Second, 5*time.Millisecond)
+	tc.addZoneUpstream("near", "east-b")
+	tc.store.BeginEvacuation("east-a")
+	require.Eventually(t, func() bool { return strings.Contains(tc.entries[0].logs.String(), "name=zoneEvacuated") }, evacuationBound, time.Millisecond)
+	probes := evacuated[0].Probes() + evacuated[1].Probes()
+	setPartition(tc.entries, stand.PartitionReset, evacuated...)
+	require.Eventually(t, func() bool { return strings.Contains(tc.entries[0].logs.String(), "name=upstreamLost ") }, time.Second, 5*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	for range 10 {
+		resp, _ := tc.send("POST", "/writes/popular", "x")
+		require.Equal(t, http.StatusOK, resp.status)
+	}
+	require.Equal(t, probes, evacuated[0].Probes()+evacuated[1].Probes())
+	logs := tc.entries[0].logs.String()
+	require.NotContains(t, logs, "name=upstreamCrashed")
+	require.NotContains(t, logs, "name=upstreamsLost")
+}
+
+// Load: requests while the store returns from copies of before and during an evacuation.
+// Guards against an entry that does not do what the restored store says within the 5 s that an
+// evacuation may take.
+func TestEvacuationsOfARestoredStore(t *testing.T) {
+	tc := newTestCluster(t)
+	before := tc.store.Copy()
+	tc.store.BeginEvacuation("east-a")
+	require.Eventually(t, func() bool { return !tc.serves("/reads/1") }, evacuationBound, 10*time.Millisecond)
+	during := tc.store.Copy()
+	tc.store.EndEvacuation("east-a")
+	require.Eventually(t, func() bool { return tc.serves("/reads/1") }, evacuationBound, 10*time.Millisecond)
+	tc.restoreFromCopy(during)
+	require.Eventually(t, func() bool { return !tc.serves("/reads/1") }, 5*time.Second, 10*time.Millisecond)
+	tc.restoreFromCopy(before)
+	require.Eventually(t, func() bool { return tc.serves("/reads/1") }, 5*time.Second, 10*time.Millisecond)
+	tc.store.BeginEvacuation("east-a")
+	require.Eventually(t, func() bool { return !tc.serves("/reads/1") }, evacuationBound, 10*time.Millisecond)
+}
+
 // Load: requests of routes that only some regions may serve, while the regions fail one after
 // the other. Guards against requests outside the allowed regions.
 func TestRestrictedRoutesStayInTheirRegions(t *testing.T) {
