--- a/cmd/magnolialedge/explain_test.go
+++ b/cmd/magnolialedge/explain_test.go
@@ -44,3 +44,11 @@
 func TestEmptyRequestIDIsAnError(t *testing.T) {
 	require.ErrorContains(t, (&explainCommand{ID: " "}).Run(), "the request ID is empty")
 }
+
+// Guards against a refusal whose report does not name the evacuations and regions behind it.
+func TestReportNamesEvacuationsAndRegions(t *testing.T) {
+	lines, err := parseLog(strings.NewReader("event=3101 requestId=r1 result=noUpstream usable=0 regions=east,west evacuated=2 disallowed=5\n"))
+	require.NoError(t, err)
+	report := requestReport("r1", lines)
+	require.Contains(t, report, "2 upstreams are in evacuated zones; 5 upstreams are outside the allowed regions (east,west)")
+}
