--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -29,6 +29,9 @@
 	// minStartTime is the least value of StartedAtUnixMs that is taken for a time; upstreams
 	// may number their starts instead.
 	minStartTime = 1_500_000_000_000
+	// coldRounding is added to a registered cold time, which was cut to whole
+	// milliseconds: an entry that learns of it at once would end it early.
+	coldRounding = time.Millisecond
 	// noExploration exceeds MaxColdTime: the limit of a cold upstream ends by itself, so
 	// that no entry without a share needs to send a request to learn whether it has.
 	noExploration = 2 * MaxColdTime
@@ -68,7 +71,7 @@
 func (f *Fleet) registerCold(now time.Time, u *upstream, previous magnolialedge.Registration) {
 	remaining := u.WarmUpRemaining
 	if remaining > 0 && remaining <= MaxColdTime && previous != u.Registration && !f.isListedLate(now, u) {
-		f.extendCold(now, u, now.Add(remaining))
+		f.extendCold(now, u, now.Add(remaining+coldRounding))
 		return
 	}
 	f.refreshCold(now, u)
@@ -113,7 +116,7 @@
 // setCold sets the end of the cold time, also to an earlier one, and reports whether the
 // limit begins or ends.
 func (f *Fleet) setCold(now time.Time, u *upstream, until time.Time) bool {
-	if until.Sub(now) > MaxColdTime || until.Before(now) {
+	if until.Sub(now) > MaxColdTime+coldRounding || until.Before(now) {
 		return false
 	}
 	wasCold := u.isCold(now)
