--- /dev/null
+++ b/core/acct/doc.go
@@ -0,0 +1,2 @@
+// Package acct finds the client accounts of requests.
+package acct
