Serve more urgent accounts first among waiting requests

Cause: the priority of a client account ranks its requests before the priority of their route.

Change: isBefore compares AccountPriority before Priority. It is 0 without accounts.

--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -141,7 +141,8 @@
 }
 
 // isBefore reports whether a is woken before b. Waiters that can still meet their
-// soft deadline come first, then those of higher priority, then the latest arrivals.
+// soft deadline come first, then those of higher account priority, then of higher route
+// priority, then the latest arrivals.
 // In first-in first-out order, an overload would let
 // each request reach an upstream just after its soft deadline; the latest
 // arrivals have the most time left.
@@ -150,6 +151,9 @@
 	if canMeetA != canMeetB {
 		return canMeetA
 	}
+	if a.Request.AccountPriority != b.Request.AccountPriority {
+		return a.Request.AccountPriority < b.Request.AccountPriority
+	}
 	if a.Request.Priority != b.Request.Priority {
 		return a.Request.Priority < b.Request.Priority
 	}
