Leave out accounts whose name no header can carry

Cause: the names of accounts are written into headers of requests to upstreams; a name with a line break would add headers of its own.

Change: the table of accounts skips names with control characters, so that requests with their keys get 401.

--- a/core/acct/key.go
+++ b/core/acct/key.go
@@ -54,6 +54,11 @@
 	return value != "" && len(value) <= MaxKeyBytes && !strings.ContainsFunc(value, isBlank)
 }
 
+// isName reports whether a value can be the name of an account in a header.
+func isName(value string) bool {
+	return value != "" && !strings.ContainsFunc(value, unicode.IsControl)
+}
+
 func isBlank(r rune) bool {
 	return unicode.IsSpace(r) || unicode.IsControl(r)
 }
--- a/core/acct/table.go
+++ b/core/acct/table.go
@@ -51,8 +51,8 @@
 }
 
 // NewTable returns a Table for the given configuration. Accounts of the same name are one
-// account, to which the first of them gives its values. Accounts without a name and keys
-// that no request can carry are left out.
+// account, to which the first of them gives its values. Accounts whose name no header can
+// carry and keys that no request can carry are left out.
 func NewTable(cfg TableConfig) *Table {
 	t := &Table{
 		hashKey:   cfg.HashKey,
@@ -91,7 +91,7 @@
 	var sets []ownedKeySet
 	seen := map[string]int{}
 	for _, a := range cfg.Accounts {
-		if a.Name == "" {
+		if !isName(a.Name) {
 			continue
 		}
 		id := keySetID{account: a.Name, seq: seen[a.Name]}
@@ -181,9 +181,12 @@
 	return &t.accounts[i]
 }
 
-// Accounts returns the accounts without their keys, in the order of the configuration. The
-// caller must not change the result.
+// Accounts returns the accounts without their keys, in the order of the configuration, or
+// nil if t is nil. The caller must not change the result.
 func (t *Table) Accounts() []magnolialedge.ClientAccount {
+	if t == nil {
+		return nil
+	}
 	return t.accounts
 }
 
--- a/core/acct/table_test.go
+++ b/core/acct/table_test.go
@@ -45,7 +45,7 @@
 
 func TestUnusableAccountsAndKeysAreLeftOut(t *testing.T) {
 	long := strings.Repeat("x", MaxKeyBytes)
-	table := newTestTable(account("", "k0"), account("a", "", "k 1", "k1", "k1"), account("b", "", magnolialedge.Secret(long), magnolialedge.Secret(long+"x")), account("a", "k2"), account("c"))
+	table := newTestTable(account("", "k0"), account("x\r\ny", "k0"), account("a", "", "k 1", "k1", "k1"), account("b", "", magnolialedge.Secret(long), magnolialedge.Secret(long+"x")), account("a", "k2"), account("c"))
 	require.Equal(t, "none", ownerOf(table, "k0"))
 	require.Equal(t, "none", ownerOf(table, ""))
 	require.Equal(t, "none", ownerOf(table, "k 1"))
