Check the keys of callers and name their accounts to upstreams

Cause: with client accounts in the configuration, a request needs the key of one, and the key must not leave the entry.

Change: io/serve/account.go identifies the client after the route is found, and again before each send if the version of the routes has changed. Refused requests get 401. Both headers are removed from what is sent on; upstreams get the name of the account. Handovers carry the account and its priority and go only to entries of protocol 1; a request that an earlier release hands over is checked like a caller's. The table is built outside the lock of the forwarder, and no plain key is kept. A header name that is followed by a blank, which the parser accepts, is removed as well.

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -100,6 +100,17 @@
 	return "", false
 }
 
+// IsAuthExempt reports whether the requests of the route that Find returns need no key of a
+// client account, without advancing its traffic split.
+func (t *Table) IsAuthExempt(host, path string) bool {
+	for _, c := range t.byHost[canonicalHost(host)] {
+		if strings.HasPrefix(path, c.route.Prefix) {
+			return c.route.AuthExempt
+		}
+	}
+	return false
+}
+
 // canonicalHost removes the port from a host and converts it to lower case.
 func canonicalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -53,6 +53,10 @@
 	IsolationChanged        = Event{3115, "isolationChanged", Warning, "This entry reaches no upstream of any service, or reaches one again; callers are steered to others meanwhile."}
 	HandoverLost            = Event{3116, "handoverLost", Warning, "The connection to another entry broke while it had a request of this one."}
 	HandoverInvalid         = Event{3117, "handoverInvalid", Warning, "A request that another entry handed over was refused because its description is missing or invalid. At most one line a minute and peer."}
+	AccountsReplaced        = Event{3122, "accountsReplaced", Info, "A table of the keys of client accounts took effect with a version of the routes."}
+	AccountKeyConflict      = Event{3123, "accountKeyConflict", Warning, "Two client accounts list the same key, which is given to neither; requests with it get 401. At most 20 lines for each version."}
+	HelperUnreachable       = Event{3125, "helperUnreachable", Info, "A connection to another entry for handing over a request could not be opened."}
+	PeerCheckFailed         = Event{3126, "peerCheckFailed", Info, "Another entry asked whether this one reaches an upstream, and a new connection to the upstream failed."}
 	KeyTableFull            = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver              = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed          = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
@@ -75,7 +79,8 @@
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
 		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, UpstreamLossUnconfirmed,
-		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid, KeyTableFull, HandedOver,
+		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid,
+		AccountsReplaced, AccountKeyConflict, HelperUnreachable, PeerCheckFailed, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"magnolialedge"
 	"magnolialedge/core/pick"
 	"magnolialedge/io/event"
@@ -34,6 +36,9 @@
 // attempt sends the request to an upstream and records the result. For a streamed
 // response, the result is recorded when the stream ends.
 func (x *exchange) attempt(ctx context.Context, p *placement) attemptResult {
+	if x.currentIdentity().fault != "" {
+		return x.abandonAttempt(p)
+	}
 	start := time.Now()
 	resp, sent, err := p.conn.RoundTrip(ctx, x.upstreamRequest())
 	elapsed := time.Since(start)
@@ -52,9 +57,27 @@
 	return r
 }
 
+// abandonAttempt ends an attempt before the request is sent, because its key is no longer
+// valid.
+func (x *exchange) abandonAttempt(p *placement) attemptResult {
+	x.f.endAttempt(p, x.pickReq, 0, pick.AttemptCanceled)
+	x.f.cfg.Pool.Put(p.conn)
+	return attemptResult{err: errUnauthorized, notRun: true, summary: x.summarize(p, "unauthorized", 0)}
+}
+
+// upstreamRequest returns the request as it is sent to an upstream.
 func (x *exchange) upstreamRequest() *link.Request {
+	req := x.forwardedRequest()
+	if name := x.identity.accountName(); name != "" {
+		req.Header.Set(x.f.cfg.Headers.Account, name)
+	}
+	return req
+}
+
+// forwardedRequest returns the request without the headers that concern only this entry.
+func (x *exchange) forwardedRequest() *link.Request {
 	headers := x.f.cfg.Headers
-	return &link.Request{
+	req := &link.Request{
 		ID:       x.id,
 		Method:   x.req.Method,
 		Target:   x.req.Target,
@@ -64,6 +87,10 @@
 		HasBody:  x.req.HasBody || x.req.Method == http.MethodPost || x.req.Method == http.MethodPut,
 		TimeLeft: time.Until(x.deadline),
 	}
+	if x.identity.hasAccounts {
+		x.removeAccountHeaders(req.Header)
+	}
+	return req
 }
 
 func (x *exchange) classify(resp *link.Response, sent link.Sent, err error) attemptResult {
@@ -169,6 +196,8 @@
 
 func (x *exchange) errorKindFor(r attemptResult) magnolialedge.ErrorKind {
 	switch {
+	case errors.Is(r.err, errUnauthorized):
+		return magnolialedge.KindUnauthorized
 	case r.invalid:
 		return magnolialedge.KindBadAnswer
 	case r.notRun && r.err != nil:
--- a/io/serve/crash.go
+++ b/io/serve/crash.go
@@ -101,6 +101,9 @@
 		return false, false
 	}
 	err := f.checkNewConn(r, f.healthPathOf(r.Service, "/"))
+	if err != nil {
+		f.cfg.Log.Log(event.PeerCheckFailed, "upstream", id, "err", err)
+	}
 	return err == nil, !errors.Is(err, link.ErrWrongInstance)
 }
 
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -31,14 +31,16 @@
 
 // exchange is the processing of one request: its attempts and its response.
 type exchange struct {
-	f           *Forwarder
-	req         *front.Request
-	id          string
-	match       route.Match
-	hasRouting  bool
-	hasRoute    bool
-	deadline    time.Time
-	pickReq     pick.Request
+	f          *Forwarder
+	req        *front.Request
+	id         string
+	match      route.Match
+	hasRouting bool
+	hasRoute   bool
+	deadline   time.Time
+	pickReq    pick.Request
+	// identity is set by authenticate.
+	identity    identity
 	fingerprint uint64
 
 	// sentAttempts is the number of attempts that may have reached an upstream.
@@ -153,6 +155,9 @@
 	case !x.hasRoute:
 		return x.reject(magnolialedge.KindNoRoute, 0)
 	}
+	if !x.authenticate() {
+		return x.reject(magnolialedge.KindUnauthorized, 0)
+	}
 	if left, refused := x.f.quarantinedFor(x.fingerprint); refused {
 		return x.reject(magnolialedge.KindQuarantined, left)
 	}
@@ -218,6 +223,9 @@
 func (x *exchange) pickUpstream(ctx context.Context) (*placement, magnolialedge.ErrorKind) {
 	f := x.f
 	for ctx.Err() == nil {
+		if !x.reauthenticate() {
+			return nil, magnolialedge.KindUnauthorized
+		}
 		if x.shouldHandOver() || x.shouldPassBack() {
 			return nil, magnolialedge.KindNoUpstream
 		}
@@ -231,6 +239,9 @@
 			start := time.Now()
 			ok := f.waitForCapacity(ctx, x.pickReq, x.match.Service.HealthPath)
 			x.queueWait += time.Since(start)
+			if !x.reauthenticate() {
+				return nil, magnolialedge.KindUnauthorized
+			}
 			if !ok {
 				return nil, magnolialedge.KindOverloaded
 			}
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"magnolialedge"
+	"magnolialedge/core/acct"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
 	"magnolialedge/core/reach"
@@ -54,10 +55,14 @@
 // front.Handler.
 type Forwarder struct {
 	cfg Config
+	// hashKey is the secret for the hashes of the keys of client accounts.
+	hashKey acct.HashKey
 
 	// mu guards the fields below. It is never held during I/O.
-	mu           sync.Mutex
-	routes       *route.Table
+	mu     sync.Mutex
+	routes *route.Table
+	// accounts holds the client accounts of the routes in effect, or is nil if they have none.
+	accounts     *acct.Table
 	fleet        *pick.Fleet
 	queues       map[string]*queue
 	retryBudgets map[string]*proc.RatioBudget
@@ -91,6 +96,7 @@
 func NewForwarder(cfg Config) *Forwarder {
 	return &Forwarder{
 		cfg:           cfg,
+		hashKey:       newHashKey(),
 		fleet:         cfg.Fleet,
 		queues:        map[string]*queue{},
 		retryBudgets:  map[string]*proc.RatioBudget{},
@@ -107,17 +113,34 @@
 }
 
 // SetRouting applies r if it is newer than the routing in effect, and reports
-// whether it is.
+// whether it is. It does not keep the keys of client accounts.
 func (f *Forwarder) SetRouting(r magnolialedge.RoutingConfig) bool {
+	accounts := f.newAccounts(r)
+	r.Accounts = accounts.Accounts()
+	if !f.setRouting(r, accounts) {
+		return false
+	}
+	f.logAccounts(r.Version, accounts)
+	return true
+}
+
+func (f *Forwarder) setRouting(r magnolialedge.RoutingConfig, accounts *acct.Table) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.routes != nil && r.Version <= f.routes.Config().Version {
+	if !f.isNewer(r.Version) {
 		return false
 	}
 	f.routes = route.NewTable(r, f.routes)
+	f.accounts = accounts
 	return true
 }
 
+// isNewer reports whether a version is newer than the routing in effect. The caller holds
+// f.mu.
+func (f *Forwarder) isNewer(version int64) bool {
+	return f.routes == nil || version > f.routes.Config().Version
+}
+
 // Register adds or updates an upstream.
 func (f *Forwarder) Register(r magnolialedge.Registration) {
 	f.mu.Lock()
@@ -148,6 +171,10 @@
 func (f *Forwarder) Version() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.versionLocked()
+}
+
+func (f *Forwarder) versionLocked() int64 {
 	if f.routes == nil {
 		return 0
 	}
--- a/io/serve/handed.go
+++ b/io/serve/handed.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 
@@ -143,6 +145,8 @@
 		return errors.Wrap(errInvalidHandover, "a request that may run once was sent before")
 	case h.AgeMs < 0 || h.AgeMs > defaultTimeout.Milliseconds() || h.LatencyTargetMs < 0:
 		return errors.Wrap(errInvalidHandover, "a time is out of range")
+	case h.Protocol < 0 || strings.ContainsFunc(h.Account, unicode.IsControl):
+		return errors.Wrap(errInvalidHandover, "the protocol or the account is invalid")
 	}
 	return nil
 }
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -53,6 +53,11 @@
 	AgeMs int64 `json:"ageMs"`
 	// IsCounted is set if the request already counts towards the retry budget.
 	IsCounted bool `json:"isCounted,omitempty"`
+	// Protocol is the version of this message; 0 for a release without client accounts.
+	Protocol int `json:"protocol,omitempty"`
+	// Account and AccountPriority are those of the client account; both are zero for none.
+	Account         string `json:"account,omitempty"`
+	AccountPriority int    `json:"accountPriority,omitempty"`
 }
 
 // mayHandOver reports whether the request may still be handed to another entry. One that
@@ -79,6 +84,9 @@
 	x.triedHandover = true
 	isDeclined := false
 	for range maxHelpers {
+		if !x.reauthenticate() {
+			return x.fail(ctx, magnolialedge.KindUnauthorized)
+		}
 		h, ok, hasHelpers := x.f.pickHelper(x)
 		if !ok {
 			isDeclined = isDeclined || hasHelpers
@@ -105,6 +113,8 @@
 	switch {
 	case r.notRun && x.mayHaveRun:
 		return x.reject(magnolialedge.KindUpstreamLost, 0)
+	case r.notRun && r.response.Status == http.StatusUnauthorized:
+		return x.reject(magnolialedge.KindUnauthorized, 0)
 	case r.notRun:
 		return x.reject(magnolialedge.KindOverloaded, r.response.RetryAfter)
 	case r.invalid:
@@ -125,6 +135,7 @@
 	p := &placement{Candidate: pick.Candidate{Registration: helperRegistration(helper)}}
 	conn, err := f.connectHelper(ctx, p.Registration, !x.pickReq.Idempotent)
 	if err != nil {
+		f.cfg.Log.Log(event.HelperUnreachable, "requestId", x.id, "service", x.pickReq.Service, "helper", helper.Name, "err", err)
 		f.endHandover(helper, x.pickReq.Service, ctx.Err() == nil)
 		return attemptResult{err: err, notRun: true, passedBack: true, summary: x.summarizeHandover(p, "unreached", time.Since(start))}
 	}
@@ -199,7 +210,7 @@
 
 // handoverRequest returns the request as it is sent to another entry.
 func (x *exchange) handoverRequest() *link.Request {
-	req := x.upstreamRequest()
+	req := x.forwardedRequest()
 	mark, err := json.Marshal(handover{
 		From:            x.f.cfg.Name,
 		Route:           x.match.Name,
@@ -213,6 +224,9 @@
 		Tried:           x.pickReq.Tried,
 		AgeMs:           time.Since(x.req.Arrived).Milliseconds(),
 		IsCounted:       x.isCounted,
+		Protocol:        magnolialedge.PeerProtocol,
+		Account:         x.pickReq.Account,
+		AccountPriority: x.pickReq.AccountPriority,
 	})
 	if err != nil {
 		x.f.cfg.Log.Log(event.HandoverInvalid, "requestId", x.id, "err", err)
@@ -228,6 +242,9 @@
 	names := make([]string, 0, len(ranked))
 	byName := map[string]magnolialedge.Instance{}
 	for _, in := range ranked {
+		if x.identity.account != nil && in.Protocol < accountProtocol {
+			continue
+		}
 		names = append(names, in.Name)
 		byName[in.Name] = in
 	}
@@ -237,7 +254,7 @@
 	if ok {
 		x.triedHelpers = append(x.triedHelpers, name)
 	}
-	return byName[name], ok, len(ranked) > 0
+	return byName[name], ok, len(names) > 0
 }
 
 // endHandover records that a request at another entry has ended.
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -67,6 +67,9 @@
 	if !x.mayHandOver() || !x.f.isLost(x.pickReq.Service) || x.sentAttempts+2 > max(1, x.match.MaxAttempts) {
 		return false
 	}
+	if x.currentIdentity().fault != "" {
+		return false
+	}
 	helper, ok, _ := x.f.pickHelper(x)
 	if !ok {
 		return false
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -38,6 +38,12 @@
 		"retryAfter", resp.Header.Get("Retry-After"),
 		"attempts", x.attemptsText(),
 	}
+	if x.identity.account != nil {
+		fields = append(fields, "account", x.identity.account.Name)
+	}
+	if x.identity.fault != "" {
+		fields = append(fields, "keyFault", string(x.identity.fault))
+	}
 	if x.handover != nil {
 		fields = append(fields, "handedBy", x.handover.From, "handedRouting", x.handover.Version)
 	}
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -29,6 +29,9 @@
 	if kind == magnolialedge.KindDeadlineExceeded {
 		kind = magnolialedge.KindOverloaded
 	}
+	if kind == magnolialedge.KindUnauthorized {
+		return x.reject(kind, 0)
+	}
 	return x.rejectForShortage(kind)
 }
 
