Accept handed requests only from known entries if there are accounts

Change: with client accounts, connections for handovers are accepted only from addresses of entries that are listed, hinted or self-reported; others get 403 and one log line a minute. An entry that is refused introduces itself and tries once more, since it may have started a moment ago. Handovers are sent from the address that the members know.

--- a/io/conn/dialer.go
+++ b/io/conn/dialer.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"syscall"
 	"time"
@@ -31,6 +32,9 @@
 	// Timeout bounds the opening of a TCP connection; 0 means one second. A
 	// connection through a gateway must in any case be open after one second.
 	Timeout time.Duration
+	// LocalIP is the address from which connections are opened; the zero value leaves it to
+	// the system.
+	LocalIP netip.Addr
 }
 
 // Dialer opens TCP connections, through the region's gateway if it has one.
@@ -41,7 +45,11 @@
 
 // NewDialer returns a Dialer.
 func NewDialer(cfg DialerConfig) *Dialer {
-	return &Dialer{cfg: cfg, dialer: net.Dialer{Timeout: cmp.Or(cfg.Timeout, dialTimeout), Control: setUserTimeout}}
+	d := &Dialer{cfg: cfg, dialer: net.Dialer{Timeout: cmp.Or(cfg.Timeout, dialTimeout), Control: setUserTimeout}}
+	if cfg.LocalIP.IsValid() {
+		d.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(cfg.LocalIP, 0))
+	}
+	return d
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -55,6 +55,7 @@
 	HandoverInvalid         = Event{3117, "handoverInvalid", Warning, "A request that another entry handed over was refused because its description is missing or invalid. At most one line a minute and peer."}
 	AccountsReplaced        = Event{3122, "accountsReplaced", Info, "A table of the keys of client accounts took effect with a version of the routes."}
 	AccountKeyConflict      = Event{3123, "accountKeyConflict", Warning, "Two client accounts list the same key, which is given to neither; requests with it get 401. At most 20 lines for each version."}
+	HandoverRefused         = Event{3124, "handoverRefused", Warning, "A connection for requests that another entry hands over was refused, because its address is not that of a known entry. At most one line a minute and peer."}
 	HelperUnreachable       = Event{3125, "helperUnreachable", Info, "A connection to another entry for handing over a request could not be opened."}
 	PeerCheckFailed         = Event{3126, "peerCheckFailed", Info, "Another entry asked whether this one reaches an upstream, and a new connection to the upstream failed."}
 	KeyTableFull            = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
@@ -80,7 +81,7 @@
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
 		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, UpstreamLossUnconfirmed,
 		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid,
-		AccountsReplaced, AccountKeyConflict, HelperUnreachable, PeerCheckFailed, KeyTableFull, HandedOver,
+		AccountsReplaced, AccountKeyConflict, HandoverRefused, HelperUnreachable, PeerCheckFailed, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- a/io/node/cluster_test.go
+++ b/io/node/cluster_test.go
@@ -26,12 +26,14 @@
 
 // testCluster is a store, upstreams and entries on loopback addresses.
 type testCluster struct {
-	t          *testing.T
-	store      *stand.Store
-	upstreams  []*stand.Upstream
-	entries    []*testEntry
-	version    int
-	routes     []string
+	t         *testing.T
+	store     *stand.Store
+	upstreams []*stand.Upstream
+	entries   []*testEntry
+	version   int
+	routes    []string
+	// accounts is the JSON of the client accounts, or empty for none.
+	accounts   string
 	requestSeq int
 	mu         sync.Mutex
 }
@@ -97,7 +99,11 @@
 		}
 		routes += r
 	}
-	tc.store.Put("op/config", []byte(fmt.Sprintf(`{"version":"r%d","routes":[%s],"services":[{"name":"svc","health-path":"/health","max-conns":100},{"name":"other","health-path":"/health","max-conns":100}],"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":300,"idle-timeout-ms":5000}}`, tc.version, routes)))
+	accounts := ""
+	if tc.accounts != "" {
+		accounts = `"tenants":[` + tc.accounts + `],`
+	}
+	tc.store.Put("op/config", []byte(fmt.Sprintf(`{"version":"r%d",%s"routes":[%s],"services":[{"name":"svc","health-path":"/health","max-conns":100},{"name":"other","health-path":"/health","max-conns":100}],"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":300,"idle-timeout-ms":5000}}`, tc.version, accounts, routes)))
 }
 
 func (tc *testCluster) addUpstream(id string) *stand.Upstream {
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -158,14 +158,19 @@
 func (n *Node) post(address, path string, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err == nil {
-		var resp *http.Response
-		if resp, err = n.peerClient.Do(req); err == nil {
-			_ = resp.Body.Close()
-		}
-	}
+	resp, err := n.send(ctx, address, path, body)
 	if err != nil {
 		n.log.Log(event.PeerUnreachable, "peer", address, "err", err)
+		return
+	}
+	_ = resp.Body.Close()
+}
+
+// send posts a message to another entry. The caller closes the body of the response.
+func (n *Node) send(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
 	}
+	return n.peerClient.Do(req)
 }
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -37,6 +37,9 @@
 	if !strings.EqualFold(c.Request().Header.Get("Upgrade"), handoverProtocol) {
 		return c.NoContent(http.StatusUpgradeRequired)
 	}
+	if !n.mayHandOver(c.Request().RemoteAddr) {
+		return c.NoContent(http.StatusForbidden)
+	}
 	netConn, _, err := http.NewResponseController(c.Response()).Hijack()
 	if err != nil {
 		return errors.Wrap(err, "accept handovers")
@@ -55,10 +58,24 @@
 // implements link.Dialer.
 type handoverDialer struct {
 	dialer link.Dialer
+	// introduce tells the peer at an address about this entry.
+	introduce func(ctx context.Context, address string) error
 }
 
-// Dial implements link.Dialer.
+// Dial implements link.Dialer. If the peer does not know this entry, it introduces it and
+// tries once more.
 func (d handoverDialer) Dial(ctx context.Context, region, address string) (net.Conn, error) {
+	c, err := d.open(ctx, region, address)
+	if !errors.Is(err, errUnknownPeer) {
+		return c, err
+	}
+	if err := d.introduce(ctx, address); err != nil {
+		return nil, errors.Wrap(err, "introduce this entry")
+	}
+	return d.open(ctx, region, address)
+}
+
+func (d handoverDialer) open(ctx context.Context, region, address string) (net.Conn, error) {
 	c, err := d.dialer.Dial(ctx, region, address)
 	if err != nil {
 		return nil, err
@@ -83,6 +100,9 @@
 	if err != nil {
 		return errors.Wrap(err, "hand over")
 	}
+	if resp.StatusCode == http.StatusForbidden {
+		return errUnknownPeer
+	}
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		return errors.Wrapf(errNoHandover, "status %d", resp.StatusCode)
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -63,6 +63,7 @@
 	// handedServer serves the requests that they hand over.
 	helperPool   *link.Pool
 	handedServer *front.Server
+	refusals     peerLogLimiter
 	store        magnolialedge.Keyspace
 	peerClient   *http.Client
 	isLeaving    atomic.Bool
@@ -117,7 +118,7 @@
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
-	n.helperPool = link.NewPool(link.PoolConfig{Dialer: handoverDialer{dialer: dialer}, Headers: cfg.Headers})
+	n.helperPool = link.NewPool(link.PoolConfig{Dialer: n.newHandoverDialer(), Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
 		Name:       s.Name,
 		Helpers:    n.members.helpers,
