Show requests, keys and refusals by client account

Cause: operators could not see how much each account sends, which keys are in force, or why a request got 401.

Change: account_requests_total has a label for the 100 accounts with most requests, and counts the rest as other, which never decreases. The log line of a request names the account or the fault of the key, and explain describes the fault.

--- a/cmd/magnolialedge/explain.go
+++ b/cmd/magnolialedge/explain.go
@@ -96,6 +96,9 @@
 			continue
 		}
 		b.WriteString(l.text + "\n")
+		if fault := formatKeyFault(l.fields); fault != "" {
+			b.WriteString("  " + fault + "\n")
+		}
 		if shortage := formatShortage(l.fields); shortage != "" {
 			b.WriteString("  " + shortage + "\n")
 		}
@@ -117,6 +120,26 @@
 	return b.String()
 }
 
+// keyFaults describes the reasons for which a request had no client account.
+var keyFaults = map[string]string{
+	"missing":        "it had no key header",
+	"repeated":       "it had more than one key header",
+	"malformed":      "the key is empty or too long, or has blanks or control characters",
+	"unknown":        "no account lists the key in this version",
+	"conflicting":    "two accounts list the key, so that it belongs to neither (event accountKeyConflict)",
+	"moved":          "the key was given to another account while the request waited",
+	"accountRemoved": "the account that the other entry found does not exist in this version",
+}
+
+// formatKeyFault describes why a request got 401, or returns "" if the line has no reason.
+func formatKeyFault(fields map[string]string) string {
+	fault := fields["keyFault"]
+	if fault == "" {
+		return ""
+	}
+	return "refused with 401 by version " + fields["routing"] + " of the routes: " + cmp.Or(keyFaults[fault], fault)
+}
+
 // formatShortage describes the capacity that a rejection was decided by, or returns
 // "" if the line has none.
 func formatShortage(fields map[string]string) string {
--- a/cmd/magnolialedge/explain_test.go
+++ b/cmd/magnolialedge/explain_test.go
@@ -44,3 +44,12 @@
 func TestEmptyRequestIDIsAnError(t *testing.T) {
 	require.ErrorContains(t, (&explainCommand{ID: " "}).Run(), "the request ID is empty")
 }
+
+// Guards against a 401 whose cause an operator has to guess.
+func TestReportOfUnauthorizedRequestNamesTheCause(t *testing.T) {
+	for fault, text := range keyFaults {
+		lines, err := parseLog(strings.NewReader("event=3101 requestId=r1 routing=7 result=unauthorized keyFault=" + fault + "\n"))
+		require.NoError(t, err)
+		require.Contains(t, requestReport("r1", lines), "refused with 401 by version 7 of the routes: "+text)
+	}
+}
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -16,6 +16,7 @@
 	"magnolialedge/core/proc"
 	"magnolialedge/io/event"
 	"magnolialedge/io/mirror"
+	"magnolialedge/io/serve"
 )
 
 // Paths for peers and operators.
@@ -84,6 +85,8 @@
 	// Isolated is set while the entry reaches no upstream.
 	Isolated bool `json:"isolated"`
 	Members  any  `json:"members"`
+	// Accounts holds the client accounts, or is missing if there are none.
+	Accounts []serve.AccountState `json:"accounts,omitempty"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -100,6 +103,7 @@
 			Leaving:  n.isLeaving.Load(),
 			Isolated: n.forwarder.IsIsolated(),
 			Members:  n.members.list(),
+			Accounts: n.forwarder.AccountStates(),
 		})
 	})
 	return e
--- a/io/serve/account.go
+++ b/io/serve/account.go
@@ -17,6 +17,8 @@
 	// accountProtocol is the first version of the messages between entries that has client
 	// accounts.
 	accountProtocol = 1
+	// maxAccountLabels limits the accounts that have a label of their own in metrics.
+	maxAccountLabels = 100
 	// maxLoggedConflicts limits the log lines about the key conflicts of one version.
 	maxLoggedConflicts = 20
 )
@@ -230,3 +232,53 @@
 	name = strings.TrimSpace(name)
 	return len(name) == len(want) && strings.EqualFold(strings.ReplaceAll(name, "_", "-"), want)
 }
+
+// countAccount counts a caller's request for its account.
+func (f *Forwarder) countAccount(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.accountUsage.Add(name)
+	requests := f.cfg.Metrics.AccountRequests
+	if c.Evicted != "" {
+		requests.DeleteLabelValues(c.Evicted)
+		requests.WithLabelValues(acct.OtherLabel).Add(float64(c.Moved))
+	}
+	requests.WithLabelValues(c.Label).Inc()
+}
+
+// AccountState describes a client account for operators.
+type AccountState struct {
+	Name     string `json:"name"`
+	Priority int    `json:"priority"`
+	// RatePerSecond and Burst are the limit of the account; a rate of 0 means none.
+	RatePerSecond  float64  `json:"ratePerSecond"`
+	Burst          float64  `json:"burst"`
+	AllowedRegions []string `json:"allowedRegions,omitempty"`
+	// KeyHashes holds the first digits of the hashes of the keys, which differ from entry to
+	// entry.
+	KeyHashes []string `json:"keyHashes"`
+	// Requests is the number of requests that callers sent to this entry.
+	Requests uint64 `json:"requests"`
+}
+
+// AccountStates returns the client accounts in effect.
+func (f *Forwarder) AccountStates() []AccountState {
+	f.mu.Lock()
+	accounts := f.accounts
+	f.mu.Unlock()
+	if accounts == nil {
+		return nil
+	}
+	hashes := accounts.Hashes()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []AccountState{}
+	for _, a := range accounts.Accounts() {
+		s := AccountState{Name: a.Name, Priority: a.Priority, RatePerSecond: a.RatePerSecond, Burst: a.Burst, AllowedRegions: a.AllowedRegions, KeyHashes: []string{}, Requests: f.accountUsage.Requests(a.Name)}
+		for _, h := range hashes[a.Name] {
+			s.KeyHashes = append(s.KeyHashes, h.String())
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -63,6 +63,7 @@
 	routes *route.Table
 	// accounts holds the client accounts of the routes in effect, or is nil if they have none.
 	accounts     *acct.Table
+	accountUsage *acct.Usage
 	fleet        *pick.Fleet
 	queues       map[string]*queue
 	retryBudgets map[string]*proc.RatioBudget
@@ -97,6 +98,7 @@
 	return &Forwarder{
 		cfg:           cfg,
 		hashKey:       newHashKey(),
+		accountUsage:  acct.NewUsage(maxAccountLabels),
 		fleet:         cfg.Fleet,
 		queues:        map[string]*queue{},
 		retryBudgets:  map[string]*proc.RatioBudget{},
@@ -132,6 +134,9 @@
 	}
 	f.routes = route.NewTable(r, f.routes)
 	f.accounts = accounts
+	if accounts != nil {
+		f.accountUsage.Retain(func(name string) bool { return accounts.Account(name) != nil })
+	}
 	return true
 }
 
--- a/io/serve/metrics.go
+++ b/io/serve/metrics.go
@@ -15,6 +15,8 @@
 	QueueWait   prometheus.Histogram
 	ConnsOpened prometheus.Counter
 	Probes      prometheus.Counter
+	// AccountRequests counts callers' requests by client account.
+	AccountRequests *prometheus.CounterVec
 	// Handovers counts the requests that were handed to other entries.
 	Handovers *prometheus.CounterVec
 	// ProbesSkipped counts probes that the probe budget did not allow.
@@ -32,6 +34,10 @@
 			Namespace: "magnolialedge", Name: "routed_attempts_total",
 			Help: "Attempts by service and how they ended.",
 		}, []string{"service", "end"}),
+		AccountRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "magnolialedge", Name: "account_requests_total",
+			Help: "Requests of callers by client account; `other` holds all but the 100 accounts with most requests.",
+		}, []string{"account"}),
 		Handovers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "magnolialedge", Name: "handovers_total",
 			Help: "Requests handed to other entries, by service and how that ended.",
@@ -59,7 +65,7 @@
 			Help: "Readings that the budget of readings did not allow.",
 		}),
 	}
-	r.MustRegister(m.Requests, m.Attempts, m.Latency, m.QueueWait, m.ConnsOpened, m.Probes, m.ProbesSkipped, m.Handovers)
+	r.MustRegister(m.Requests, m.Attempts, m.Latency, m.QueueWait, m.ConnsOpened, m.Probes, m.ProbesSkipped, m.Handovers, m.AccountRequests)
 	return m
 }
 
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -38,6 +38,9 @@
 		"retryAfter", resp.Header.Get("Retry-After"),
 		"attempts", x.attemptsText(),
 	}
+	if x.identity.account != nil && x.handover == nil {
+		x.f.countAccount(x.identity.account.Name)
+	}
 	if x.identity.account != nil {
 		fields = append(fields, "account", x.identity.account.Name)
 	}
