--- a/io/node/cluster_test.go
+++ b/io/node/cluster_test.go
@@ -44,6 +44,8 @@
 	stop     context.CancelFunc
 	stopped  chan struct{}
 	logs     *syncBuffer
+	// metricsPort serves metrics and the dump.
+	metricsPort int
 	// partition cuts the entry off from upstreams.
 	partition *stand.Partition
 }
@@ -172,18 +174,20 @@
 			FirstPort: peer, LastPort: peer, StopTimeout: 6 * time.Second, MaxPropagation: time.Second, RetryRatio: 0.2, RetryExtra: 400,
 			MaxResolveTTL: 5 * time.Second,
 		},
-		stopped:   make(chan struct{}),
-		logs:      &syncBuffer{},
-		partition: stand.NewPartition(),
+		stopped:     make(chan struct{}),
+		logs:        &syncBuffer{},
+		metricsPort: freePort(tc.t, ip),
+		partition:   stand.NewPartition(),
 	}
 	change(&e.settings)
 	n, err := node.New(node.Config{
-		Settings:  e.settings,
-		Headers:   platform.HeaderProtocol(),
-		Decoder:   platform.Decoder{},
-		API:       platform.EntryAPI{},
-		NewStore:  platform.OpenStore,
-		LogWriter: e.logs,
+		Settings:    e.settings,
+		MetricsPort: e.metricsPort,
+		Headers:     platform.HeaderProtocol(),
+		Decoder:     platform.Decoder{},
+		API:         platform.EntryAPI{},
+		NewStore:    platform.OpenStore,
+		LogWriter:   e.logs,
 
 		UpstreamDialer: e.partition,
 	})
