Check the peer of each handed request if there are accounts

Cause: an entry without a configuration accepts connections for handovers from any address, and such a connection may outlive the arrival of the first accounts.

Change: the address of the peer is checked for each handed request as well as for each connection. Tests of such a connection, of known addresses and of panics.

--- a/io/node/account_test.go
+++ b/io/node/account_test.go
@@ -218,19 +218,29 @@
 // Guards against a program that hands over requests for any account, and against an entry
 // that started a moment ago and is refused.
 func TestHandoversAreAcceptedOnlyFromKnownEntries(t *testing.T) {
-	tc := newAccountCluster(t)
+	tc := newTestCluster(t)
+	early, r, status := tc.upgrade("127.0.0.76")
+	require.Equal(t, http.StatusSwitchingProtocols, status, "without accounts, handovers are accepted as before")
+	tc.setAccounts(accountJSON("a", keyA))
+	_, err := io.WriteString(early, "GET /reads/1 HTTP/1.1\r\nHost: "+host+"\r\nX-Request-Id: early\r\n"+
+		`Magnolialedge-Handover: {"from":"e9","service":"svc","kind":"safe","protocol":1,"account":"a"}`+"\r\n\r\n")
+	require.NoError(t, err)
+	refusal, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusForbidden, refusal.StatusCode, "a connection that is older than the accounts")
+	require.Zero(t, tc.runCount("early"))
 	for range 3 {
 		_, _, status := tc.upgrade("127.0.0.77")
 		require.Equal(t, http.StatusForbidden, status)
 	}
-	require.Equal(t, 1, strings.Count(tc.entries[0].logs.String(), "name=handoverRefused"))
+	require.Equal(t, 2, strings.Count(tc.entries[0].logs.String(), "name=handoverRefused"), "one line for each peer")
 	body, err := json.Marshal(magnolialedge.Instance{Name: "new", PeerAddress: "127.0.0.77:1", StartedAt: 5})
 	require.NoError(t, err)
 	e := tc.entries[0].settings
 	resp, err := http.Post("http://"+net.JoinHostPort(e.IP, fmt.Sprint(e.FirstPort))+"/v1/member", "application/json", strings.NewReader(string(body)))
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
-	_, _, status := tc.upgrade("127.0.0.77")
+	_, _, status = tc.upgrade("127.0.0.77")
 	require.Equal(t, http.StatusSwitchingProtocols, status)
 }
 
--- a/io/serve/account_test.go
+++ b/io/serve/account_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"magnolialedge"
@@ -182,6 +184,25 @@
 	require.Equal(t, keyUnknown, f.identify(r, nil).fault)
 }
 
+// Guards against keys in the log line of a panic.
+func TestPanicShowsNoKey(t *testing.T) {
+	var log strings.Builder
+	f := NewForwarder(Config{Headers: accountHeaders, Log: event.NewLogger(&log, "e1"), Metrics: NewMetrics(prometheus.NewRegistry())})
+	f.SetRouting(accountRouting(1, account("a", "secret-key-1")))
+	for _, key := range []string{"secret-key-1", "secret-key-2"} {
+		r, err := parseRequest(t, "/x", "X-Key: "+key)
+		require.NoError(t, err)
+		x := f.newExchange(r)
+		resp := x.serve(func() *front.Response {
+			x.authenticate()
+			panic(errors.Newf("%v", f.routes.Config()))
+		})
+		require.Equal(t, http.StatusInternalServerError, resp.Status)
+	}
+	require.Equal(t, 2, strings.Count(log.String(), "name=requestPanicked"))
+	require.NotContains(t, log.String(), "secret-key")
+}
+
 func TestHandedRequestIsIdentifiedByTheEntryThatReceivedIt(t *testing.T) {
 	f := newAccountForwarder(account("a", "k1"), account("b", "k2"))
 	r, err := parseRequest(t, "/x", "X-Key: k2")
--- a/io/serve/handed.go
+++ b/io/serve/handed.go
@@ -70,6 +70,10 @@
 		return x.decline(magnolialedge.KindBadRequest)
 	}
 	return x.serve(func() *front.Response {
+		// The connection may be older than the client accounts.
+		if h.cfg.MayHandOver != nil && !h.cfg.MayHandOver(r.RemoteAddr) {
+			return x.decline(magnolialedge.KindForbidden)
+		}
 		if !h.beginHanded() {
 			return x.decline(magnolialedge.KindOverloaded)
 		}
