Give 401 to a waiting request whose key was removed, also at its deadline

Cause: a request whose deadline passed while it waited got 503 although its key had been removed. A request that an earlier release handed over did not get the regions of its account.

Change: fail reports the missing account first, if the request has not run; setIdentity sets the regions whenever this entry found the account.

--- a/io/node/handover_peer_test.go
+++ b/io/node/handover_peer_test.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -9,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"magnolialedge"
+	"magnolialedge/io/conn"
 )
 
 func newKnownMembers(n int) *members {
@@ -49,6 +53,38 @@
 	require.LessOrEqual(t, len(l.loggedAt), maxLoggedPeers)
 }
 
+// Guards against an entry that started a moment ago and cannot hand over requests.
+func TestUnknownEntryIntroducesItselfAndTriesAgain(t *testing.T) {
+	isKnown := false
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !isKnown {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		w.Header().Set("Upgrade", handoverProtocol)
+		w.Header().Set("Connection", "Upgrade")
+		w.WriteHeader(http.StatusSwitchingProtocols)
+	}))
+	defer peer.Close()
+	address := peer.Listener.Addr().String()
+	introductions := 0
+	d := handoverDialer{dialer: conn.NewDialer(conn.DialerConfig{LocalIP: netip.MustParseAddr("127.0.0.5")}), introduce: func(context.Context, string) error {
+		introductions++
+		return nil
+	}}
+	_, err := d.Dial(t.Context(), "", address)
+	require.ErrorIs(t, err, errUnknownPeer)
+	require.Equal(t, 1, introductions, "it tries once")
+	d.introduce = func(context.Context, string) error {
+		isKnown = true
+		return nil
+	}
+	c, err := d.Dial(t.Context(), "", address)
+	require.NoError(t, err)
+	require.Contains(t, c.LocalAddr().String(), "127.0.0.5:")
+	require.NoError(t, c.Close())
+}
+
 func BenchmarkKnowsIP(b *testing.B) {
 	m := newKnownMembers(312)
 	ip := netip.MustParseAddr("10.0.9.9")
--- a/io/serve/account.go
+++ b/io/serve/account.go
@@ -212,7 +212,7 @@
 	}
 	x.pickReq.Account = account.Name
 	x.pickReq.AccountPriority = account.Priority
-	if x.handover == nil {
+	if x.handover == nil || x.handover.Protocol < accountProtocol {
 		x.pickReq.Regions = magnolialedge.CommonRegions(x.match.AllowedRegions, account.AllowedRegions)
 	}
 }
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -17,6 +17,9 @@
 	if x.fallback != nil {
 		return x.callerResponse(attemptResult{response: x.fallback})
 	}
+	if kind == magnolialedge.KindUnauthorized && !x.mayHaveRun {
+		return x.reject(kind, 0)
+	}
 	if ctx.Err() != nil {
 		kind = magnolialedge.KindDeadlineExceeded
 	}
@@ -29,9 +32,6 @@
 	if kind == magnolialedge.KindDeadlineExceeded {
 		kind = magnolialedge.KindOverloaded
 	}
-	if kind == magnolialedge.KindUnauthorized {
-		return x.reject(kind, 0)
-	}
 	return x.rejectForShortage(kind)
 }
 
