Merge keys and client accounts

Allowed regions of a request are those of the route and of the account in the version in force; the account is checked again before the regions are.

--- a/cmd/magnolialedge/explain_test.go
+++ b/cmd/magnolialedge/explain_test.go
@@ -52,3 +52,12 @@
 	report := requestReport("r1", lines)
 	require.Contains(t, report, "2 upstreams are in evacuated zones; 5 upstreams are outside the allowed regions (east,west)")
 }
+
+// Guards against a 401 whose cause an operator has to guess.
+func TestReportOfUnauthorizedRequestNamesTheCause(t *testing.T) {
+	for fault, text := range keyFaults {
+		lines, err := parseLog(strings.NewReader("event=3101 requestId=r1 routing=7 result=unauthorized keyFault=" + fault + "\n"))
+		require.NoError(t, err)
+		require.Contains(t, requestReport("r1", lines), "refused with 401 by version 7 of the routes: "+text)
+	}
+}
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -16,6 +16,7 @@
 	"magnolialedge/core/proc"
 	"magnolialedge/io/event"
 	"magnolialedge/io/mirror"
+	"magnolialedge/io/serve"
 )
 
 // Paths for peers and operators.
@@ -87,8 +88,10 @@
 	// Evacuated lists the evacuated availability zones.
 	Evacuated []evacuatedZone `json:"evacuated"`
 	// Cold holds the upstreams that are cold, with this entry's share of their limits.
-	Cold    []coldUpstream `json:"cold,omitempty"`
-	Members any            `json:"members"`
+	Cold []coldUpstream `json:"cold,omitempty"`
+	// Accounts holds the client accounts, or is missing if there are none.
+	Accounts []serve.AccountState `json:"accounts,omitempty"`
+	Members  any                  `json:"members"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -107,6 +110,7 @@
 			Evacuated: n.evacuations.list(),
 			Members:   n.members.list(),
 			Cold:      n.coldUpstreams(),
+			Accounts:  n.forwarder.AccountStates(),
 		})
 	})
 	return e
@@ -165,14 +169,19 @@
 func (n *Node) post(address, path string, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err == nil {
-		var resp *http.Response
-		if resp, err = n.peerClient.Do(req); err == nil {
-			_ = resp.Body.Close()
-		}
-	}
+	resp, err := n.send(ctx, address, path, body)
 	if err != nil {
 		n.log.Log(event.PeerUnreachable, "peer", address, "err", err)
+		return
+	}
+	_ = resp.Body.Close()
+}
+
+// send posts a message to another entry. The caller closes the body of the response.
+func (n *Node) send(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
 	}
+	return n.peerClient.Do(req)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -64,6 +64,7 @@
 	// handedServer serves the requests that they hand over.
 	helperPool   *link.Pool
 	handedServer *front.Server
+	refusals     peerLogLimiter
 	store        magnolialedge.Keyspace
 	peerClient   *http.Client
 	isLeaving    atomic.Bool
@@ -118,14 +119,15 @@
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
-	n.helperPool = link.NewPool(link.PoolConfig{Dialer: handoverDialer{dialer: dialer}, Headers: cfg.Headers})
+	n.helperPool = link.NewPool(link.PoolConfig{Dialer: n.newHandoverDialer(), Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
-		Name:       s.Name,
-		Helpers:    n.members.helpers,
-		HelperPool: n.helperPool,
-		MaxHanded:  int(float64(s.MaxFDs) * handedFDRatio),
-		OnIsolated: n.members.setIsolated,
-		AskPeer:    n.askPeer,
+		Name:        s.Name,
+		Helpers:     n.members.helpers,
+		HelperPool:  n.helperPool,
+		MaxHanded:   int(float64(s.MaxFDs) * handedFDRatio),
+		OnIsolated:  n.members.setIsolated,
+		MayHandOver: n.mayHandOver,
+		AskPeer:     n.askPeer,
 		Fleet: pick.NewFleet(pick.Config{
 			Zone:          s.Zone,
 			Regions:       s.Regions,
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -36,11 +36,13 @@
 	id    string
 	match route.Match
 	// version is that of the routes by which the request was checked last.
-	version     int64
-	hasRouting  bool
-	hasRoute    bool
-	deadline    time.Time
-	pickReq     pick.Request
+	version    int64
+	hasRouting bool
+	hasRoute   bool
+	deadline   time.Time
+	pickReq    pick.Request
+	// identity is set by authenticate.
+	identity    identity
 	fingerprint uint64
 
 	// sentAttempts is the number of attempts that may have reached an upstream.
@@ -155,6 +157,8 @@
 		return x.reject(magnolialedge.KindNotReady, magnolialedge.ErrorResponseFor(magnolialedge.KindNotReady).RetryAfter)
 	case !x.hasRoute:
 		return x.reject(magnolialedge.KindNoRoute, 0)
+	case !x.authenticate():
+		return x.reject(magnolialedge.KindUnauthorized, 0)
 	case hasNoAllowedRegion(x.pickReq):
 		return x.rejectForShortage(magnolialedge.KindNoAllowedRegion)
 	}
@@ -223,6 +227,9 @@
 func (x *exchange) pickUpstream(ctx context.Context) (*placement, magnolialedge.ErrorKind) {
 	f := x.f
 	for ctx.Err() == nil {
+		if !x.reauthenticate() {
+			return nil, magnolialedge.KindUnauthorized
+		}
 		if kind := x.refresh(); kind != "" {
 			return nil, kind
 		}
@@ -239,6 +246,9 @@
 			start := time.Now()
 			ok := f.waitForCapacity(ctx, x.pickReq, x.match.Service.HealthPath)
 			x.queueWait += time.Since(start)
+			if !x.reauthenticate() {
+				return nil, magnolialedge.KindUnauthorized
+			}
 			if !ok {
 				return nil, magnolialedge.KindOverloaded
 			}
--- a/io/serve/region.go
+++ b/io/serve/region.go
@@ -39,8 +39,8 @@
 	return f.fleet.IsEvacuated(zone)
 }
 
-// wakeForRouting wakes all waiting requests if routes restrict regions, since another version
-// may restrict them differently. The caller holds f.mu.
+// wakeForRouting wakes all waiting requests if routes restrict regions or there are client
+// accounts, since another version may refuse them. The caller holds f.mu.
 func (f *Forwarder) wakeForRouting(previous, current magnolialedge.RoutingConfig) {
 	if !hasRestrictions(previous) && !hasRestrictions(current) {
 		return
@@ -51,6 +51,9 @@
 }
 
 func hasRestrictions(c magnolialedge.RoutingConfig) bool {
+	if len(c.Accounts) > 0 {
+		return true
+	}
 	for _, r := range c.Routes {
 		if len(r.AllowedRegions) > 0 {
 			return true
@@ -59,9 +62,22 @@
 	return false
 }
 
-// allowedRegions returns the allowed regions of a request of a route.
+// allowedRegions returns the allowed regions of a request of a route: those that both the route
+// and the client account permit. The caller holds f.mu.
 func (x *exchange) allowedRegions(r magnolialedge.Route) []string {
-	return magnolialedge.CommonRegions(r.AllowedRegions, nil)
+	return magnolialedge.CommonRegions(r.AllowedRegions, x.accountRegions())
+}
+
+// accountRegions returns the allowed regions of the client account in the version of the
+// routes in force. The caller holds f.mu.
+func (x *exchange) accountRegions() []string {
+	if x.identity.account == nil || x.f.accounts == nil {
+		return nil
+	}
+	if current := x.f.accounts.Account(x.identity.account.Name); current != nil {
+		return current.AllowedRegions
+	}
+	return x.identity.account.AllowedRegions
 }
 
 // hasNoAllowedRegion reports whether the restrictions of a request exclude all regions.
