Keep the limit of a client account over all entries with credits

Cause: a client account has one limit, but its requests arrive at all entries.

Change: core/acct decides: Holder and Asker draw credits ahead of need, Owner grants them from a token bucket whose tokens and outstanding credits stay within the burst and a part of the overage and slack, Tenure and Seat let one of three candidates own an account by a majority of votes. io/node carries the messages, POST /v1/credits and /v1/votes; io/serve draws once for each request after the account is known; 429 has Retry-After. A request of an account without a limit takes no lock beyond the table's and sends nothing.

--- /dev/null
+++ b/core/acct/owner.go
@@ -0,0 +1,286 @@
+package acct
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// holderLife is the time after its last request for which a holder's rate counts.
+	holderLife = 2 * time.Second
+	// scarceLoad is the part of the limit from which the owner divides it among the
+	// holders instead of granting what each asks for.
+	scarceLoad = 0.9
+	// reserveShare is the part of a full bucket that is not granted ahead of need, so that
+	// holders without credits find some.
+	reserveShare = 0.25
+	// depthShare is the part of the spare credits by which the bucket is deeper than the
+	// burst. It makes up for the credits that are unspent at other holders.
+	depthShare = 0.5
+	// aheadShare is the part of the burst that may be outstanding ahead of need in
+	// addition to the spare credits. The rest stays in the bucket.
+	aheadShare = 0.5
+	// entitledTime is the time for which a holder accumulates credits of its share.
+	entitledTime = 600 * time.Millisecond
+	// aheadScarce is the time for which a holder receives credits ahead of need while the
+	// limit is short.
+	aheadScarce = 400 * time.Millisecond
+	// fairInterval is the time between two computations of the fair share.
+	fairInterval = 50 * time.Millisecond
+	// minExhausted and maxExhausted limit the time for which a holder does not ask again.
+	minExhausted = 20 * time.Millisecond
+	maxExhausted = 400 * time.Millisecond
+	// With many holders the time is longer, up to LongestExhausted, so that they send
+	// about asksPerCredit messages for each credit, or minAskRate a second if that is more.
+	asksPerCredit = 2
+	minAskRate    = 50
+)
+
+// LongestExhausted is the longest time for which an owner refuses credits.
+const LongestExhausted = 2 * time.Second
+
+// Owner holds the token buckets of the accounts that this entry owns. It is not safe for
+// concurrent use.
+//
+// The bucket of an account holds at most its burst, and the bucket and the outstanding
+// credits together at most the burst plus the spare credits of the Bound. The requests
+// of any window are among the credits that are outstanding or in the bucket at its
+// begin and those that the rate adds: at most burst + spare + rate x window.
+type Owner struct {
+	bound    Bound
+	accounts map[string]*bucket
+}
+
+// NewOwner returns an Owner without accounts.
+func NewOwner(bound Bound) *Owner {
+	return &Owner{bound: bound, accounts: map[string]*bucket{}}
+}
+
+// Grant decides on a request for credits. It returns false for one that is older than the
+// last of its holder.
+func (o *Owner) Grant(now time.Time, account string, limit Limit, draw Draw) (Grant, bool) {
+	b, ok := o.accounts[account]
+	if !ok {
+		b = newBucket(now, limit, o.bound)
+		o.accounts[account] = b
+	}
+	b.setLimit(now, limit)
+	return b.grant(now, draw)
+}
+
+// Drop forgets an account that another entry owns now.
+func (o *Owner) Drop(account string) {
+	delete(o.accounts, account)
+}
+
+// Tokens returns the number of credits in the bucket of an account and of those that are
+// outstanding, and false if this entry holds no bucket for it.
+func (o *Owner) Tokens(now time.Time, account string) (tokens, outstanding float64, ok bool) {
+	b, ok := o.accounts[account]
+	if !ok {
+		return 0, 0, false
+	}
+	b.refill(now)
+	return b.tokens, float64(b.outstanding), true
+}
+
+// bucket is the token bucket of one account.
+type bucket struct {
+	limit Limit
+	bound Bound
+	// startedAt is when this entry became the owner.
+	startedAt  time.Time
+	tokens     float64
+	refilledAt time.Time
+	// outstanding is the sum of the holders' unspent credits, as far as is known.
+	outstanding int
+	holders     map[Run]*holderState
+	// fairRate is the largest share of a holder, or infinite if there is enough for all.
+	fairRate float64
+	fairAt   time.Time
+}
+
+// holderState is what the owner knows of one holder.
+type holderState struct {
+	number      int64
+	outstanding int
+	expiresAt   time.Time
+	rate        float64
+	askedAt     time.Time
+	// entitled is the number of credits that its share has accumulated.
+	entitled float64
+}
+
+func newBucket(now time.Time, limit Limit, bound Bound) *bucket {
+	return &bucket{limit: limit, bound: bound, startedAt: now, refilledAt: now, holders: map[Run]*holderState{}, fairRate: math.Inf(1)}
+}
+
+// setLimit applies a changed limit to the bucket.
+func (b *bucket) setLimit(now time.Time, limit Limit) {
+	b.refill(now)
+	if limit == b.limit {
+		return
+	}
+	b.limit = limit
+	b.tokens = min(b.tokens, max(0, b.capacity(now)))
+}
+
+// capacity returns the largest number of tokens at present. Until the credits of an
+// earlier owner have expired, the bucket and the credits of this one stay within the
+// burst.
+func (b *bucket) capacity(now time.Time) float64 {
+	spare := 0.0
+	if now.Sub(b.startedAt) > CreditLife {
+		spare = b.bound.spare(b.limit)
+	}
+	return min(b.limit.Burst+spare*depthShare, b.limit.Burst+spare-float64(b.outstanding))
+}
+
+// refill drops the credits that have expired and adds tokens.
+func (b *bucket) refill(now time.Time) {
+	elapsed := now.Sub(b.refilledAt)
+	if elapsed <= 0 {
+		return
+	}
+	b.refilledAt = now
+	for run, h := range b.holders {
+		if h.outstanding > 0 && !now.Before(h.expiresAt) {
+			b.outstanding -= h.outstanding
+			h.outstanding = 0
+		}
+		if now.Sub(h.askedAt) > holderLife {
+			delete(b.holders, run)
+		}
+	}
+	capacity := b.capacity(now)
+	if b.tokens < capacity {
+		b.tokens = min(capacity, b.tokens+elapsed.Seconds()*b.limit.Rate)
+	}
+}
+
+func (b *bucket) grant(now time.Time, draw Draw) (Grant, bool) {
+	h, ok := b.holders[draw.Holder]
+	if !ok {
+		h = &holderState{askedAt: now, entitled: 1}
+		b.holders[draw.Holder] = h
+	}
+	if draw.Number <= h.number {
+		return Grant{}, false
+	}
+	kept := b.keep(now, h, draw.Left, draw.Returned)
+	elapsed := now.Sub(h.askedAt)
+	h.number, h.rate, h.askedAt = draw.Number, draw.Rate, now
+	g := Grant{Kept: kept, Valid: needLife}
+	need, want := max(0, draw.Need), max(0, draw.Want, draw.Need)
+	if g.Share = b.share(now, h); g.Share > 0 {
+		g.Granted = b.grantShare(h, g.Share, elapsed, min(want, need+int(g.Share*aheadScarce.Seconds())))
+	} else {
+		g.Granted = b.grantWanted(need, want)
+	}
+	if g.Granted < need {
+		g.Exhausted = b.exhaustedFor(h, g.Share)
+	}
+	if g.Kept > 0 || g.Granted > need {
+		g.Valid = CreditLife
+	}
+	b.tokens -= float64(g.Granted)
+	b.outstanding += g.Granted
+	h.outstanding += g.Granted
+	h.expiresAt = now.Add(g.Valid)
+	return g, true
+}
+
+// keep records that a holder has left credits and gives others back, and returns how many
+// stay valid: fewer if the limit was lowered below what is outstanding.
+func (b *bucket) keep(now time.Time, h *holderState, left, returned int) int {
+	kept := min(max(0, left), h.outstanding)
+	returned = min(max(0, returned), h.outstanding-kept)
+	b.outstanding += kept - h.outstanding
+	b.tokens = max(b.tokens, min(b.tokens+float64(returned), b.capacity(now)))
+	if excess := -b.capacity(now); excess > 0 {
+		revoked := min(kept, int(math.Ceil(excess)))
+		kept -= revoked
+		b.outstanding -= revoked
+	}
+	h.outstanding = kept
+	return kept
+}
+
+// grantWanted returns the number of credits for a holder while there is enough for all.
+// Credits ahead of need leave a reserve.
+func (b *bucket) grantWanted(need, want int) int {
+	granted := min(need, int(b.tokens))
+	burst := b.limit.Burst
+	room := min(
+		b.tokens-float64(granted)-(burst+b.bound.spare(b.limit)*depthShare)*reserveShare,
+		b.bound.spare(b.limit)+burst*aheadShare-float64(b.outstanding+granted),
+	)
+	return granted + max(0, min(want-granted, int(math.Floor(room))))
+}
+
+// grantShare returns the number of credits for a holder while all want more than there
+// is: what its share has accumulated, and what the reserve leaves.
+func (b *bucket) grantShare(h *holderState, share float64, elapsed time.Duration, want int) int {
+	h.entitled = min(max(1, share*entitledTime.Seconds()), h.entitled+share*elapsed.Seconds())
+	reserve := min(b.limit.Burst*reserveShare, b.limit.Burst-1)
+	spare := max(0, b.tokens-reserve)
+	granted := min(want, int(b.tokens), int(h.entitled+spare))
+	h.entitled = max(0, h.entitled-float64(granted))
+	return granted
+}
+
+// exhaustedFor returns the time until a holder should ask again.
+func (b *bucket) exhaustedFor(h *holderState, share float64) time.Duration {
+	seconds := (1 - b.tokens) / b.limit.Rate
+	if share > 0 {
+		seconds = max(seconds, (1-h.entitled)/share)
+	}
+	asks := max(minAskRate, asksPerCredit*b.limit.Rate)
+	limit := min(LongestExhausted.Seconds(), max(maxExhausted.Seconds(), float64(len(b.holders))/asks))
+	return time.Duration(min(limit, max(minExhausted.Seconds(), seconds)) * float64(time.Second))
+}
+
+// share returns the part of the rate that a holder may use, or 0 while there is enough
+// for all.
+func (b *bucket) share(now time.Time, h *holderState) float64 {
+	if now.Sub(b.fairAt) >= fairInterval {
+		b.fairAt = now
+		b.fairRate = b.computeFairRate(now)
+	}
+	if math.IsInf(b.fairRate, 1) || b.tokens >= b.limit.Burst/2+1 {
+		return 0
+	}
+	return max(min(h.rate, b.fairRate), math.SmallestNonzeroFloat64)
+}
+
+// computeFairRate returns the rate to which the holders are limited so that together
+// they use the whole limit, or infinity if they use less.
+func (b *bucket) computeFairRate(now time.Time) float64 {
+	rates := make([]float64, 0, len(b.holders))
+	sum := 0.0
+	for _, h := range b.holders {
+		if now.Sub(h.askedAt) <= holderLife {
+			rates = append(rates, h.rate)
+			sum += h.rate
+		}
+	}
+	if sum <= scarceLoad*b.limit.Rate {
+		return math.Inf(1)
+	}
+	slices.Sort(rates)
+	left := b.limit.Rate
+	for i, r := range rates {
+		if part := left / float64(len(rates)-i); r > part {
+			return part
+		}
+		left -= r
+	}
+	return rates[len(rates)-1] + left/float64(len(rates))
+}
+
+// Accounts returns the names of the accounts that have a bucket here, in order.
+func (o *Owner) Accounts() []string {
+	return slices.Sorted(maps.Keys(o.accounts))
+}
--- /dev/null
+++ b/core/acct/seat.go
@@ -0,0 +1,228 @@
+package acct
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// renewRemaining is the remaining time of its votes from which an owner asks for them
+	// again.
+	renewRemaining = VoteLife / 2
+	// standDownTime is how long a candidate declines an account after it has reached a
+	// preferred one, and retryTime the time between two attempts to become the owner.
+	standDownTime = 200 * time.Millisecond
+	retryTime     = 50 * time.Millisecond
+	// tenureIdleTime is how long an owner keeps its votes without a request for credits.
+	// A request that comes later waits for an election.
+	tenureIdleTime = 10 * time.Second
+)
+
+// Ballot asks another candidate of an account for its vote, or with IsCheck only whether
+// it can be reached.
+type Ballot struct {
+	To        string
+	Account   string
+	Candidate Run
+	IsCheck   bool
+}
+
+// BallotResult is the result of a Ballot.
+type BallotResult struct {
+	Ballot
+	SentAt time.Time
+	// Reached is set if the other candidate replied, and Voted if it gave its vote.
+	Reached bool
+	Voted   bool
+	// IsRepeated is set if the last vote of the other candidate was for the same run.
+	IsRepeated bool
+}
+
+// Seat decides on requests for credits at an entry: it becomes the owner of accounts for
+// which it is a candidate, and grants credits while it is. It is not safe for concurrent use.
+type Seat struct {
+	self      Run
+	tenure    *Tenure
+	owner     *Owner
+	elections map[string]*election
+	// drawnAt holds the time of the last request for credits by account.
+	drawnAt map[string]time.Time
+}
+
+// election is an attempt to become or stay the owner of an account.
+type election struct {
+	isOpen  bool
+	isCheck bool
+	pending int
+	reached bool
+	// notBefore is the time of the next attempt, and declineUntil the time until which
+	// the entry leaves the account to a preferred candidate.
+	notBefore    time.Time
+	declineUntil time.Time
+}
+
+// NewSeat returns the Seat of a run that starts at now.
+func NewSeat(now time.Time, self Run, bound Bound) *Seat {
+	return &Seat{self: self, tenure: NewTenure(now, self), owner: NewOwner(bound), elections: map[string]*election{}, drawnAt: map[string]time.Time{}}
+}
+
+// Draw decides on a request for credits, and returns the ballots to send.
+func (s *Seat) Draw(now time.Time, d AccountDraw, limit Limit, candidates []string) (Reply, []Ballot) {
+	remaining := s.tenure.Remaining(now, d.Account, candidates)
+	s.drawnAt[d.Account] = now
+	if remaining == 0 {
+		return s.drawWithoutTenure(now, d.Account, candidates)
+	}
+	g, ok := s.owner.Grant(now, d.Account, limit, d.Draw)
+	if !ok {
+		return Reply{Status: Declined}, nil
+	}
+	if remaining > renewRemaining {
+		return Reply{Grant: g}, nil
+	}
+	return Reply{Grant: g}, s.begin(now, d.Account, candidates)
+}
+
+func (s *Seat) drawWithoutTenure(now time.Time, account string, candidates []string) (Reply, []Ballot) {
+	if slices.Index(candidates, s.self.Name) < 0 {
+		return Reply{Status: Declined}, nil
+	}
+	ballots := s.begin(now, account, candidates)
+	if now.Before(s.elections[account].declineUntil) {
+		return Reply{Status: Declined}, ballots
+	}
+	return Reply{Status: Pending}, ballots
+}
+
+// begin begins an election unless one is open or was held a short time ago. A candidate
+// that is not the preferred one first checks that it reaches none before it.
+func (s *Seat) begin(now time.Time, account string, candidates []string) []Ballot {
+	e, ok := s.elections[account]
+	if !ok {
+		e = &election{}
+		s.elections[account] = e
+	}
+	rank := slices.Index(candidates, s.self.Name)
+	if e.isOpen || rank < 0 || now.Before(e.notBefore) || now.Before(e.declineUntil) {
+		return nil
+	}
+	*e = election{isOpen: true, notBefore: now.Add(retryTime)}
+	if rank == 0 {
+		return s.askVotes(now, account, candidates)
+	}
+	e.isCheck, e.pending = true, rank
+	return s.ballots(account, candidates[:rank], true)
+}
+
+// askVotes gives this entry its own vote and returns the ballots to the other candidates.
+func (s *Seat) askVotes(now time.Time, account string, candidates []string) []Ballot {
+	e := s.elections[account]
+	e.isCheck = false
+	isGiven, isRepeated := s.tenure.Vote(now, account, s.self, candidates)
+	if !isGiven {
+		e.isOpen = false
+		return nil
+	}
+	s.recordVote(now, account, s.self.Name, isRepeated, candidates)
+	out := s.ballots(account, candidates, false)
+	e.pending = len(out)
+	e.isOpen = len(out) > 0
+	return out
+}
+
+// recordVote records a vote for this entry. If the voter may have voted for another owner
+// since its last vote for this one, the bucket starts empty.
+func (s *Seat) recordVote(askedAt time.Time, account, voter string, isRepeated bool, candidates []string) {
+	if !isRepeated && !s.tenure.IsOwner(askedAt, account, candidates) {
+		s.owner.Drop(account)
+	}
+	s.tenure.Record(askedAt, account, voter)
+}
+
+// ballots returns a ballot for each of the names but this entry's.
+func (s *Seat) ballots(account string, names []string, isCheck bool) []Ballot {
+	var out []Ballot
+	for _, name := range names {
+		if name != s.self.Name {
+			out = append(out, Ballot{To: name, Account: account, Candidate: s.self, IsCheck: isCheck})
+		}
+	}
+	return out
+}
+
+// Vote decides on the ballot of another candidate. The results are those of Tenure.Vote.
+func (s *Seat) Vote(now time.Time, b Ballot, candidates []string) (isGiven, isRepeated bool) {
+	if b.IsCheck {
+		return false, false
+	}
+	isGiven, isRepeated = s.tenure.Vote(now, b.Account, b.Candidate, candidates)
+	if isGiven {
+		s.owner.Drop(b.Account)
+	}
+	return isGiven, isRepeated
+}
+
+// Renew returns the ballots that keep this entry the owner of the accounts that it granted
+// credits for a short time ago.
+func (s *Seat) Renew(now time.Time, candidates func(account string) []string) []Ballot {
+	var out []Ballot
+	for account, at := range s.drawnAt {
+		if now.Sub(at) > tenureIdleTime {
+			delete(s.drawnAt, account)
+			continue
+		}
+		names := candidates(account)
+		if left := s.tenure.Remaining(now, account, names); left > 0 && left <= renewRemaining {
+			out = append(out, s.begin(now, account, names)...)
+		}
+	}
+	return out
+}
+
+// Count applies the result of a ballot, and returns the ballots to send next.
+func (s *Seat) Count(now time.Time, r BallotResult, candidates []string) []Ballot {
+	if r.Voted {
+		s.recordVote(r.SentAt, r.Account, r.To, r.IsRepeated, candidates)
+	}
+	e, ok := s.elections[r.Account]
+	if !ok || !e.isOpen || e.isCheck != r.IsCheck {
+		return nil
+	}
+	e.pending--
+	e.reached = e.reached || r.Reached
+	if e.pending > 0 {
+		return nil
+	}
+	e.isOpen = false
+	switch {
+	case !e.isCheck:
+		return nil
+	case e.reached:
+		e.declineUntil = now.Add(standDownTime)
+		return nil
+	}
+	e.isOpen = true
+	return s.askVotes(now, r.Account, candidates)
+}
+
+// Forget withdraws this entry's votes for a run that has certainly ended.
+func (s *Seat) Forget(ended Run) {
+	s.tenure.Forget(ended)
+}
+
+// Owned describes an account that this entry owns.
+type Owned struct {
+	Account     string
+	Tokens      float64
+	Outstanding float64
+}
+
+// Owned returns the accounts for which this entry holds a bucket, in order.
+func (s *Seat) Owned(now time.Time) []Owned {
+	var out []Owned
+	for _, account := range s.owner.Accounts() {
+		tokens, outstanding, _ := s.owner.Tokens(now, account)
+		out = append(out, Owned{Account: account, Tokens: tokens, Outstanding: outstanding})
+	}
+	return out
+}
--- a/core/proc/quota.go
+++ b/core/proc/quota.go
@@ -159,7 +159,7 @@
 		}
 	}
 	names := slices.SortedFunc(maps.Keys(steered), func(a, b string) int {
-		return cmp.Or(cmp.Compare(rendezvousWeight(steered[b], r.ID), rendezvousWeight(steered[a], r.ID)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(RendezvousWeight(steered[b], r.ID), RendezvousWeight(steered[a], r.ID)), cmp.Compare(a, b))
 	})
 	return names[:min(maxQuotaHolders, len(names))]
 }
--- a/core/proc/steer.go
+++ b/core/proc/steer.go
@@ -85,7 +85,7 @@
 }
 
 func newSteeringKey(in *magnolialedge.Instance, service string) steeringKey {
-	return steeringKey{Instance: in, class: CapacityClass(*in), weight: rendezvousWeight(*in, service)}
+	return steeringKey{Instance: in, class: CapacityClass(*in), weight: RendezvousWeight(*in, service)}
 }
 
 // compare returns a negative number if callers use the instance of k before that of o.
@@ -128,8 +128,8 @@
 	return live
 }
 
-// rendezvousWeight returns the weight of an instance for service in rendezvous
+// RendezvousWeight returns the weight of an instance for service in rendezvous
 // hashing.
-func rendezvousWeight(in magnolialedge.Instance, service string) uint64 {
+func RendezvousWeight(in magnolialedge.Instance, service string) uint64 {
 	return xxhash.Sum64String(in.Name + "\x00" + service)
 }
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -53,6 +53,10 @@
 	IsolationChanged        = Event{3115, "isolationChanged", Warning, "This entry reaches no upstream of any service, or reaches one again; callers are steered to others meanwhile."}
 	HandoverLost            = Event{3116, "handoverLost", Warning, "The connection to another entry broke while it had a request of this one."}
 	HandoverInvalid         = Event{3117, "handoverInvalid", Warning, "A request that another entry handed over was refused because its description is missing or invalid. At most one line a minute and peer."}
+	QuotaExhausted          = Event{3130, "quotaExhausted", Info, "Requests of a client account exceed its limit and are refused. At most one line a second and account."}
+	QuotaOwnerChanged       = Event{3131, "quotaOwnerChanged", Info, "Another entry than before grants the credits of a client account."}
+	QuotaOwnerUnreachable   = Event{3132, "quotaOwnerUnreachable", Warning, "No entry replied that may grant the credits of a client account, and its requests are refused. At most one line a second and account."}
+	CreditMessageInvalid    = Event{3133, "creditMessageInvalid", Warning, "A message about credits from another entry was refused because it is invalid. At most one line a minute and peer."}
 	KeyTableFull            = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver              = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed          = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
@@ -75,7 +79,8 @@
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
 		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, UpstreamLossUnconfirmed,
-		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid, KeyTableFull, HandedOver,
+		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid,
+		QuotaExhausted, QuotaOwnerChanged, QuotaOwnerUnreachable, CreditMessageInvalid, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- /dev/null
+++ b/io/node/credits.go
@@ -0,0 +1,397 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/core/acct"
+	"magnolialedge/io/event"
+)
+
+const (
+	// creditTick is the time between two checks for credits and votes to renew, and
+	// waitingTick the same while requests wait for credits.
+	creditTick  = 50 * time.Millisecond
+	waitingTick = 5 * time.Millisecond
+	// candidatesTTL is how long the candidates of an account are cached.
+	candidatesTTL = 100 * time.Millisecond
+	// ballotTimeout limits asking another candidate for its vote.
+	ballotTimeout = 100 * time.Millisecond
+	// exhaustedLogInterval is the shortest time between two log lines about an exhausted
+	// account.
+	exhaustedLogInterval = time.Second
+	// defaultQuotaWindow, defaultQuotaOverage and defaultQuotaSlack apply if the settings
+	// do not state the bound.
+	defaultQuotaWindow  = 5 * time.Second
+	defaultQuotaOverage = 0.1
+	defaultQuotaSlack   = 20
+)
+
+// quotaBound returns the hard bound on the requests of an account.
+func quotaBound(s Settings) acct.Bound {
+	if s.QuotaWindow <= 0 {
+		return acct.Bound{Window: defaultQuotaWindow, Overage: defaultQuotaOverage, Slack: defaultQuotaSlack}
+	}
+	return acct.Bound{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack}
+}
+
+// creditPeers sends the messages of credits to other entries.
+type creditPeers interface {
+	draw(ctx context.Context, to magnolialedge.Instance, m acct.Message, version int64) (map[string]acct.Reply, error)
+	vote(ctx context.Context, to magnolialedge.Instance, ballots []acct.Ballot) (map[string]acct.BallotResult, error)
+}
+
+// credits keeps the limits of the client accounts together with the other entries. It
+// implements serve.AccountQuotas.
+type credits struct {
+	self    acct.Run
+	members func() []magnolialedge.Instance
+	peers   creditPeers
+	log     event.Logger
+	metrics *creditMetrics
+	wake    chan struct{}
+
+	// mu guards the fields below. It is never held during I/O.
+	mu      sync.Mutex
+	holder  *acct.Holder
+	asker   *acct.Asker
+	seat    *acct.Seat
+	version int64
+	limits  map[string]acct.Limit
+	// replied holds a channel for each account with waiting requests, which is closed at
+	// the next reply, and waiting is their number.
+	replied map[string]chan struct{}
+	waiting int
+	// candidates caches the candidates of the accounts, and instances the entries.
+	candidates  map[string][]string
+	instances   map[string]magnolialedge.Instance
+	candidateAt time.Time
+	// owners holds the entry that last granted credits, by account.
+	owners            map[string]string
+	exhaustedLoggedAt map[string]time.Time
+}
+
+func newCredits(now time.Time, self acct.Run, bound acct.Bound, members func() []magnolialedge.Instance, peers creditPeers, metrics *creditMetrics, log event.Logger) *credits {
+	h := acct.NewHolder(self)
+	return &credits{
+		self: self, members: members, peers: peers, log: log, metrics: metrics,
+		wake:              make(chan struct{}, 1),
+		holder:            h,
+		asker:             acct.NewAsker(h),
+		seat:              acct.NewSeat(now, self, bound),
+		limits:            map[string]acct.Limit{},
+		replied:           map[string]chan struct{}{},
+		candidates:        map[string][]string{},
+		instances:         map[string]magnolialedge.Instance{},
+		owners:            map[string]string{},
+		exhaustedLoggedAt: map[string]time.Time{},
+	}
+}
+
+// setRouting replaces the limits by those of a configuration.
+func (c *credits) setRouting(r magnolialedge.RoutingConfig) {
+	limits := map[string]acct.Limit{}
+	for _, a := range r.Accounts {
+		if a.HasLimit() {
+			limits[a.Name] = acct.LimitOf(a, r.Version)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version, c.limits = r.Version, limits
+	keep := func(account string) bool { _, ok := limits[account]; return ok }
+	maps.DeleteFunc(c.owners, func(account, _ string) bool { return !keep(account) })
+	maps.DeleteFunc(c.exhaustedLoggedAt, func(account string, _ time.Time) bool { return !keep(account) })
+}
+
+// run renews credits and votes until ctx is done.
+func (c *credits) run(ctx context.Context) {
+	timer := time.NewTimer(creditTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		case <-timer.C:
+		}
+		timer.Reset(c.tick(time.Now()))
+	}
+}
+
+// tick sends what is due and returns the time until the next tick.
+func (c *credits) tick(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.limits) == 0 {
+		return creditTick
+	}
+	c.refreshCandidates(now)
+	c.sendBallots(c.seat.Renew(now, c.candidatesOf))
+	for _, m := range c.asker.Messages(now, c.candidatesOf) {
+		c.send(now, m)
+	}
+	c.holder.Forget(now)
+	if c.waiting > 0 {
+		return waitingTick
+	}
+	return creditTick
+}
+
+// refreshCandidates drops the cached candidates when they are old.
+func (c *credits) refreshCandidates(now time.Time) {
+	if now.Sub(c.candidateAt) < candidatesTTL {
+		return
+	}
+	c.candidateAt = now
+	clear(c.candidates)
+	clear(c.instances)
+	for _, in := range c.members() {
+		c.instances[in.Name] = in
+	}
+}
+
+// candidatesOf returns the names of the entries that may own an account. The caller holds
+// c.mu.
+func (c *credits) candidatesOf(account string) []string {
+	if names, ok := c.candidates[account]; ok {
+		return names
+	}
+	names := []string{}
+	for _, in := range acct.Candidates(slices.Collect(maps.Values(c.instances)), account) {
+		names = append(names, in.Name)
+	}
+	c.candidates[account] = names
+	return names
+}
+
+// send sends a message to an owner, or handles it if this entry is the owner. The caller
+// holds c.mu.
+func (c *credits) send(now time.Time, m acct.Message) {
+	c.metrics.messages.WithLabelValues("draw").Inc()
+	if m.Owner == c.self.Name {
+		c.finish(now, m, c.grantAll(now, m.Draws, c.version))
+		return
+	}
+	to, version := c.instances[m.Owner], c.version
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), acct.AskTimeout)
+		defer cancel()
+		replies, err := c.peers.draw(ctx, to, m, version)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if err != nil {
+			c.recordLost(to, err)
+			c.asker.Failed(time.Now(), m)
+			c.signal()
+			return
+		}
+		c.finish(time.Now(), m, replies)
+	}()
+}
+
+// recordLost counts a message without a reply. A refused connection shows that the run of
+// the other entry has ended.
+func (c *credits) recordLost(to magnolialedge.Instance, err error) {
+	c.metrics.messages.WithLabelValues("lost").Inc()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.seat.Forget(acct.Run{Name: to.Name, StartedAt: to.StartedAt})
+	}
+}
+
+// finish applies the replies to a message and wakes the requests that wait.
+func (c *credits) finish(now time.Time, m acct.Message, replies map[string]acct.Reply) {
+	c.asker.Done(now, m, replies)
+	for _, d := range m.Draws {
+		if r, ok := replies[d.Account]; ok && r.Status == acct.Granted {
+			c.recordOwner(d.Account, m.Owner)
+			c.metrics.credits.WithLabelValues("granted").Add(float64(r.Granted))
+		}
+		c.metrics.credits.WithLabelValues("returned").Add(float64(d.Returned))
+		if ch, ok := c.replied[d.Account]; ok {
+			close(ch)
+			delete(c.replied, d.Account)
+		}
+	}
+	c.signal()
+}
+
+// recordOwner logs that another entry than before grants the credits of an account.
+func (c *credits) recordOwner(account, owner string) {
+	before := c.owners[account]
+	if before == owner {
+		return
+	}
+	c.owners[account] = owner
+	if before != "" {
+		c.log.Log(event.QuotaOwnerChanged, "account", account, "owner", owner, "before", before)
+	}
+}
+
+// signal makes run tick soon.
+func (c *credits) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// grantAll decides on the requests for credits of one message, whose sender has the given
+// version of the configuration. The caller holds c.mu.
+func (c *credits) grantAll(now time.Time, draws []acct.AccountDraw, version int64) map[string]acct.Reply {
+	c.refreshCandidates(now)
+	replies := map[string]acct.Reply{}
+	for _, d := range draws {
+		limit, ok := c.limits[d.Account]
+		if !ok {
+			replies[d.Account] = replyWithoutLimit(d, version, c.version)
+			continue
+		}
+		reply, ballots := c.seat.Draw(now, d, limit, c.candidatesOf(d.Account))
+		replies[d.Account] = reply
+		c.sendBallots(ballots)
+	}
+	return replies
+}
+
+// replyWithoutLimit returns the reply for an account that has no limit here. If this entry
+// has the later configuration, the limit has ended.
+func replyWithoutLimit(d acct.AccountDraw, version, ownVersion int64) acct.Reply {
+	if ownVersion <= version {
+		return acct.Reply{Status: acct.Pending}
+	}
+	return acct.Reply{Grant: acct.Grant{Kept: d.Left, Granted: d.Want, Valid: acct.CreditLife}}
+}
+
+// sendBallots asks other candidates for their votes. The caller holds c.mu.
+func (c *credits) sendBallots(ballots []acct.Ballot) {
+	byPeer := map[string][]acct.Ballot{}
+	for _, b := range ballots {
+		byPeer[b.To] = append(byPeer[b.To], b)
+	}
+	for name, group := range byPeer {
+		c.metrics.messages.WithLabelValues("vote").Inc()
+		go c.askVotes(time.Now(), c.instances[name], group)
+	}
+}
+
+func (c *credits) askVotes(sentAt time.Time, to magnolialedge.Instance, ballots []acct.Ballot) {
+	ctx, cancel := context.WithTimeout(context.Background(), ballotTimeout)
+	defer cancel()
+	results, err := c.peers.vote(ctx, to, ballots)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.recordLost(to, err)
+	}
+	now := time.Now()
+	for _, b := range ballots {
+		r := results[b.Account]
+		r.Ballot, r.SentAt, r.Reached = b, sentAt, err == nil
+		c.sendBallots(c.seat.Count(now, r, c.candidatesOf(b.Account)))
+	}
+	c.signal()
+}
+
+// handleDraws decides on a message of another entry.
+func (c *credits) handleDraws(now time.Time, draws []acct.AccountDraw, version int64) map[string]acct.Reply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.grantAll(now, draws, version)
+}
+
+// handleBallots decides on the ballots of another entry.
+func (c *credits) handleBallots(now time.Time, ballots []acct.Ballot) []acct.BallotResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshCandidates(now)
+	results := make([]acct.BallotResult, 0, len(ballots))
+	for _, b := range ballots {
+		isGiven, isRepeated := c.seat.Vote(now, b, c.candidatesOf(b.Account))
+		results = append(results, acct.BallotResult{Ballot: b, Voted: isGiven, IsRepeated: isRepeated})
+	}
+	return results
+}
+
+// Admit implements serve.AccountQuotas.
+func (c *credits) Admit(ctx context.Context, account string) acct.Admission {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit, ok := c.limits[account]
+	if !ok {
+		return acct.Admission{Verdict: acct.Admitted}
+	}
+	verdict, retryAfter := c.holder.Take(now, account)
+	if verdict == acct.Waiting {
+		verdict, retryAfter = c.await(ctx, account)
+		now = time.Now()
+	} else if c.holder.IsDue(now, account) {
+		c.signal()
+	}
+	if verdict == acct.Admitted {
+		return acct.Admission{Verdict: verdict}
+	}
+	a := acct.Admission{Verdict: verdict, RetryAfter: retryAfter, Limit: limit, Owner: c.owners[account], Standing: c.holder.Standing(now, account)}
+	c.recordRefusal(now, account, a)
+	return a
+}
+
+// await waits until a reply decides on a request, for AskTimeout at most. The caller holds
+// c.mu, which is released meanwhile.
+func (c *credits) await(ctx context.Context, account string) (acct.Verdict, time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, acct.AskTimeout)
+	defer cancel()
+	start := time.Now()
+	c.waiting++
+	defer func() {
+		c.waiting--
+		c.metrics.wait.Observe(time.Since(start).Seconds())
+	}()
+	for {
+		ch, ok := c.replied[account]
+		if !ok {
+			ch = make(chan struct{})
+			c.replied[account] = ch
+		}
+		c.signal()
+		c.mu.Unlock()
+		select {
+		case <-ch:
+		case <-ctx.Done():
+		}
+		c.mu.Lock()
+		if verdict, retryAfter := c.holder.Resume(time.Now(), account); verdict != acct.Waiting {
+			return verdict, retryAfter
+		}
+		if ctx.Err() != nil {
+			c.holder.Abandon(account)
+			return acct.Unavailable, 0
+		}
+	}
+}
+
+// recordRefusal counts a refused request, and logs one per account and second.
+func (c *credits) recordRefusal(now time.Time, account string, a acct.Admission) {
+	if a.Verdict == acct.Unavailable {
+		c.metrics.requests.WithLabelValues("unavailable").Inc()
+	} else {
+		c.metrics.requests.WithLabelValues("overQuota").Inc()
+	}
+	if now.Sub(c.exhaustedLoggedAt[account]) < exhaustedLogInterval {
+		return
+	}
+	c.exhaustedLoggedAt[account] = now
+	e := event.QuotaExhausted
+	if a.Verdict == acct.Unavailable {
+		e = event.QuotaOwnerUnreachable
+	}
+	c.log.Log(e, "account", account, "owner", a.Owner, "limit", a.Limit.Rate, "share", a.Standing.Share, "use", a.Standing.Rate, "grantAgeMs", a.Standing.GrantAge.Milliseconds())
+}
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -58,6 +58,9 @@
 	e.GET(handoverPath, n.acceptHandovers)
 	e.POST(endReportPath, n.handleEndReport)
 	e.POST(limitReportPath, n.handleLimitReport)
+	quotas := &creditHandler{credits: n.credits, log: n.log, loggedAt: map[string]time.Time{}}
+	e.POST(creditPath, quotas.handleDraw)
+	e.POST(votePath, quotas.handleVote)
 	e.POST(memberPath, func(c echo.Context) error {
 		var in magnolialedge.Instance
 		if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxPeerMessageBytes)).Decode(&in); err != nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"magnolialedge"
+	"magnolialedge/core/acct"
 	core "magnolialedge/core/mirror"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
@@ -55,6 +56,7 @@
 
 	members      *members
 	quotas       *quotaSharer
+	credits      *credits
 	follower     *mirror.Follower
 	pool         *link.Pool
 	forwarder    *serve.Forwarder
@@ -116,6 +118,8 @@
 	n.members = newMembers(n.self())
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
+	n.peerClient = &http.Client{Transport: dialer.Transport("")}
+	n.credits = newCredits(n.start, n.run(), quotaBound(s), n.members.list, creditClient{client: n.peerClient, self: n.run()}, newCreditMetrics(n.registry), n.log)
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
 	n.helperPool = link.NewPool(link.PoolConfig{Dialer: handoverDialer{dialer: dialer}, Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
@@ -141,6 +145,7 @@
 		Probes:      proc.ProbeLimits{PerUpstreamPerSecond: s.MaxProbesPerSec},
 		ReportCrash: n.broadcastCrash,
 		ReportLimit: n.reportLimit,
+		Quotas:      n.credits,
 	})
 	n.callerServer = front.NewServer(front.Config{
 		Handler:            n.forwarder,
@@ -158,7 +163,6 @@
 	}, []string{"call"})
 	n.registry.MustRegister(calls)
 	n.store = cfg.NewStore(s.StoreAddress, conn.NewDialer(conn.DialerConfig{Timeout: storeDialTimeout}).Transport(""), func(call string) { calls.WithLabelValues(call).Inc() })
-	n.peerClient = &http.Client{Transport: dialer.Transport("")}
 	n.follower = mirror.NewFollower(mirror.Config{
 		Store:            n.store,
 		OnChange:         n.applyChanges,
@@ -221,6 +225,11 @@
 	}
 }
 
+// run returns what identifies this run of the entry.
+func (n *Node) run() acct.Run {
+	return acct.Run{Name: n.settings.Name, StartedAt: n.start.UnixMilli()}
+}
+
 // Run serves until ctx is done, then drains the requests in flight for no longer
 // than StopTimeout and returns. Settings received from reload replace the current
 // ones. Run returns an error if it cannot listen on an address.
@@ -235,6 +244,7 @@
 	go n.helperPool.Run(workCtx)
 	defer n.forwarder.Close()
 	go n.follower.Run(workCtx)
+	go n.credits.run(workCtx)
 	announced := make(chan struct{})
 	announceCtx, stopAnnouncing := context.WithCancel(workCtx)
 	go func() {
--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -77,6 +77,7 @@
 func (n *Node) applyUpdate(u update, logUpstreams bool) {
 	if u.Routing != nil && n.forwarder.SetRouting(*u.Routing) {
 		n.quotas.setRouting(*u.Routing)
+		n.credits.setRouting(*u.Routing)
 		n.log.Log(event.RoutingInForce, "version", u.Routing.Version, "revision", u.revision, "routes", len(u.Routing.Routes))
 	}
 	if upstream := u.Upstream; upstream != nil {
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
+	"magnolialedge/core/acct"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/route"
 	"magnolialedge/io/event"
@@ -64,6 +65,8 @@
 	triedHelpers  []string
 	// unreached is the number of upstreams to which no connection could be opened.
 	unreached int
+	// refusal is the decision on the account's limit if the request was refused by it.
+	refusal *acct.Admission
 	// isCounted is set once the request counts towards the retry budget.
 	isCounted bool
 	// truncated is set if the response ended before it was complete.
@@ -153,6 +156,9 @@
 	case !x.hasRoute:
 		return x.reject(magnolialedge.KindNoRoute, 0)
 	}
+	if resp := x.admitQuota(ctx); resp != nil {
+		return resp
+	}
 	if left, refused := x.f.quarantinedFor(x.fingerprint); refused {
 		return x.reject(magnolialedge.KindQuarantined, left)
 	}
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -48,6 +48,8 @@
 	// ReportLimit notifies the other entries that an upstream begins or ceases to announce
 	// a limit.
 	ReportLimit func(magnolialedge.Registration, magnolialedge.RateLimit)
+	// Quotas keeps the limits of client accounts. It may be nil.
+	Quotas AccountQuotas
 }
 
 // Forwarder proxies the requests of callers to upstreams. It implements
@@ -264,7 +266,8 @@
 	h := http.Header{}
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
-	if spec.Status == http.StatusServiceUnavailable && retryAfter > 0 {
+	mayRetry := spec.Status == http.StatusServiceUnavailable || spec.Status == http.StatusTooManyRequests
+	if mayRetry && retryAfter > 0 {
 		h.Set("Retry-After", formatSeconds(retryAfter))
 	}
 	return &front.Response{
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -41,6 +41,7 @@
 	if x.handover != nil {
 		fields = append(fields, "handedBy", x.handover.From, "handedRouting", x.handover.Version)
 	}
+	fields = append(fields, x.quotaFields()...)
 	x.f.cfg.Log.Log(event.RequestServed, append(fields, x.shortageFields()...)...)
 }
 
