--- a/core/acct/holder.go
+++ b/core/acct/holder.go
@@ -166,7 +166,7 @@
 	case p.share > 0:
 		return int(min(p.share, p.rateAt(now)) * aheadScarce.Seconds())
 	}
-	return 1 + int(p.rateAt(now)*(aheadTime+blockTime).Seconds())
+	return 1 + int(math.Round(p.rateAt(now)*(aheadTime+blockTime).Seconds()))
 }
 
 // Draw begins a request for credits of an account.
--- a/core/acct/owner.go
+++ b/core/acct/owner.go
@@ -13,9 +13,11 @@
 	// scarceLoad is the part of the limit from which the owner divides it among the
 	// holders instead of granting what each asks for.
 	scarceLoad = 0.9
-	// reserveShare is the part of a full bucket that is not granted ahead of need, so that
+	// reserveShare is the part of the burst that is not granted ahead of need, so that
 	// holders without credits find some.
 	reserveShare = 0.25
+	// spareReserveShare is the same of the part by which the bucket is deeper than the burst.
+	spareReserveShare = 0.5
 	// depthShare is the part of the spare credits by which the bucket is deeper than the
 	// burst. It makes up for the credits that are unspent at other holders.
 	depthShare = 0.5
@@ -27,7 +29,7 @@
 	// aheadScarce is the time for which a holder receives credits ahead of need while the
 	// limit is short.
 	aheadScarce = 400 * time.Millisecond
-	// fairInterval is the time between two computations of the fair share.
+	// fairInterval is the time between two computations of the fair ratio.
 	fairInterval = 50 * time.Millisecond
 	// minExhausted and maxExhausted limit the time for which a holder does not ask again.
 	minExhausted = 20 * time.Millisecond
@@ -97,9 +99,10 @@
 	// outstanding is the sum of the holders' unspent credits, as far as is known.
 	outstanding int
 	holders     map[Run]*holderState
-	// fairRate is the largest share of a holder, or infinite if there is enough for all.
-	fairRate float64
-	fairAt   time.Time
+	// fairRatio is the part of its requests for which each holder receives credits, or 0 if
+	// there are enough for all.
+	fairRatio float64
+	fairAt    time.Time
 }
 
 // holderState is what the owner knows of one holder.
@@ -114,7 +117,7 @@
 }
 
 func newBucket(now time.Time, limit Limit, bound Bound) *bucket {
-	return &bucket{limit: limit, bound: bound, startedAt: now, refilledAt: now, holders: map[Run]*holderState{}, fairRate: math.Inf(1)}
+	return &bucket{limit: limit, bound: bound, startedAt: now, refilledAt: now, holders: map[Run]*holderState{}}
 }
 
 // setLimit applies a changed limit to the bucket.
@@ -214,7 +217,7 @@
 	granted := min(need, int(b.tokens))
 	burst := b.limit.Burst
 	room := min(
-		b.tokens-float64(granted)-(burst+b.bound.spare(b.limit)*depthShare)*reserveShare,
+		b.tokens-float64(granted)-burst*reserveShare-b.bound.spare(b.limit)*depthShare*spareReserveShare,
 		b.bound.spare(b.limit)+burst*aheadShare-float64(b.outstanding+granted),
 	)
 	return granted + max(0, min(want-granted, int(math.Floor(room))))
@@ -247,37 +250,28 @@
 func (b *bucket) share(now time.Time, h *holderState) float64 {
 	if now.Sub(b.fairAt) >= fairInterval {
 		b.fairAt = now
-		b.fairRate = b.computeFairRate(now)
+		b.fairRatio = b.computeFairRatio(now)
 	}
-	if math.IsInf(b.fairRate, 1) || b.tokens >= b.limit.Burst/2+1 {
+	if b.tokens >= b.limit.Burst/2+1 {
 		return 0
 	}
-	return max(min(h.rate, b.fairRate), math.SmallestNonzeroFloat64)
+	return b.fairRatio * h.rate
 }
 
-// computeFairRate returns the rate to which the holders are limited so that together
-// they use the whole limit, or infinity if they use less.
-func (b *bucket) computeFairRate(now time.Time) float64 {
-	rates := make([]float64, 0, len(b.holders))
+// computeFairRatio returns the part of its requests for which each holder receives
+// credits, so that together they use the whole limit and all are served equally often. It
+// returns 0 while they use less than scarceLoad of the limit.
+func (b *bucket) computeFairRatio(now time.Time) float64 {
 	sum := 0.0
 	for _, h := range b.holders {
 		if now.Sub(h.askedAt) <= holderLife {
-			rates = append(rates, h.rate)
 			sum += h.rate
 		}
 	}
 	if sum <= scarceLoad*b.limit.Rate {
-		return math.Inf(1)
-	}
-	slices.Sort(rates)
-	left := b.limit.Rate
-	for i, r := range rates {
-		if part := left / float64(len(rates)-i); r > part {
-			return part
-		}
-		left -= r
+		return 0
 	}
-	return rates[len(rates)-1] + left/float64(len(rates))
+	return b.limit.Rate / sum
 }
 
 // Accounts returns the names of the accounts that have a bucket here, in order.
