Leave an account to its owner while entries differ on the candidates

Cause: an entry that starts as the first candidate, or one that only some entries list, held requests until the votes of the earlier owner ended, although that owner still granted credits.

--- a/core/acct/quota_test.go
+++ b/core/acct/quota_test.go
@@ -226,3 +226,30 @@
 	s.runFor(10 * time.Second)
 	require.Zero(t, s.messages)
 }
+
+// Guards against two owners, or none, while the entries learn of a new first candidate at
+// different times.
+func TestNewFirstCandidateTakesOver(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(seed, 20, 170)
+		first := s.ownerEntry()
+		first.dead = true
+		knownAt := map[*simEntry]time.Time{}
+		s.isKnown = func(viewer, e *simEntry) bool {
+			at, ok := knownAt[viewer]
+			return e != first || (ok && !s.now.Before(at))
+		}
+		s.load(7*170, 20*time.Second, func() *simEntry { return s.entries[s.rng.IntN(len(s.entries))] })
+		s.runFor(settleTime + 5*time.Second)
+		s.start(first)
+		for _, e := range s.entries {
+			knownAt[e] = s.now.Add(time.Duration(s.rng.Int64N(int64(2 * time.Second))))
+		}
+		s.resetCounts()
+		s.runFor(5 * time.Second)
+		requireBound(t, s)
+		require.GreaterOrEqual(t, float64(s.admittedCount()), 0.9*float64(s.central))
+		s.runFor(time.Second)
+		require.True(t, first.seat.tenure.IsOwner(s.now, testAccount, s.viewOf(first)(testAccount)))
+	}
+}
--- a/core/acct/seat.go
+++ b/core/acct/seat.go
@@ -56,7 +56,7 @@
 	pending int
 	reached bool
 	// notBefore is the time of the next attempt, and declineUntil the time until which
-	// the entry leaves the account to a preferred candidate.
+	// the entry leaves the account to another candidate, which may still be the owner.
 	notBefore    time.Time
 	declineUntil time.Time
 }
@@ -121,6 +121,7 @@
 	isGiven, isRepeated := s.tenure.Vote(now, account, s.self, candidates)
 	if !isGiven {
 		e.isOpen = false
+		e.declineUntil = now.Add(retryTime)
 		return nil
 	}
 	s.recordVote(now, account, s.self.Name, isRepeated, candidates)
@@ -195,7 +196,10 @@
 	}
 	e.isOpen = false
 	switch {
+	case !e.isCheck && s.tenure.IsOwner(now, r.Account, candidates):
+		return nil
 	case !e.isCheck:
+		e.declineUntil = now.Add(retryTime)
 		return nil
 	case e.reached:
 		e.declineUntil = now.Add(standDownTime)
--- a/core/acct/sim_test.go
+++ b/core/acct/sim_test.go
@@ -60,6 +60,8 @@
 	// of the messages that are lost, and as many repeated and delayed.
 	isCut     func(a, b *simEntry) bool
 	lossRatio float64
+	// isKnown reports whether an entry lists another one. If it is nil, all list all.
+	isKnown func(viewer, e *simEntry) bool
 
 	admitted      []time.Time
 	countFrom     int
@@ -131,7 +133,7 @@
 			return
 		}
 		s.whenRunning(e, func() {
-			s.sendBallots(e, e.seat.Renew(s.now, s.candidates))
+			s.sendBallots(e, e.seat.Renew(s.now, s.viewOf(e)))
 			s.ask(e)
 		})
 		s.tick(e, run)
@@ -164,6 +166,27 @@
 	s.now = end
 }
 
+// viewOf returns the function that returns the candidates of an account as an entry lists
+// them.
+func (s *sim) viewOf(viewer *simEntry) func(account string) []string {
+	if s.isKnown == nil {
+		return s.candidates
+	}
+	return func(account string) []string {
+		var all []magnolialedge.Instance
+		for _, e := range s.entries {
+			if e == viewer || s.isKnown(viewer, e) {
+				all = append(all, e.Instance)
+			}
+		}
+		var names []string
+		for _, in := range Candidates(all, account) {
+			names = append(names, in.Name)
+		}
+		return names
+	}
+}
+
 // candidates returns the candidates among all entries that are listed. Dead entries stay
 // listed.
 func (s *sim) candidates(account string) []string {
@@ -280,7 +303,7 @@
 	if e.dead || e.pausedUntil.After(s.now) {
 		return
 	}
-	for _, m := range e.asker.Messages(s.now, s.candidates) {
+	for _, m := range e.asker.Messages(s.now, s.viewOf(e)) {
 		s.sendDraws(e, s.find(m.Owner), m)
 	}
 	if e.holder.IsDue(s.now, testAccount) && len(e.waiters) > 0 {
@@ -306,7 +329,7 @@
 	s.deliver(e, owner, func() {
 		replies := map[string]Reply{}
 		for _, d := range m.Draws {
-			reply, ballots := owner.seat.Draw(s.now, d, s.limit, s.candidates(d.Account))
+			reply, ballots := owner.seat.Draw(s.now, d, s.limit, s.viewOf(owner)(d.Account))
 			replies[d.Account] = reply
 			s.sendBallots(owner, ballots)
 		}
@@ -332,11 +355,11 @@
 			}
 			ended = true
 			r.Ballot, r.SentAt = b, sentAt
-			s.sendBallots(e, e.seat.Count(s.now, r, s.candidates(b.Account)))
+			s.sendBallots(e, e.seat.Count(s.now, r, s.viewOf(e)(b.Account)))
 		}
 		s.after(100*time.Millisecond, func() { s.whenRunning(e, func() { count(BallotResult{}) }) })
 		s.deliver(e, to, func() {
-			isGiven, isRepeated := to.seat.Vote(s.now, b, s.candidates(b.Account))
+			isGiven, isRepeated := to.seat.Vote(s.now, b, s.viewOf(to)(b.Account))
 			s.deliver(to, e, func() { count(BallotResult{Reached: true, Voted: isGiven, IsRepeated: isRepeated}) })
 		})
 	}
