--- a/cmd/magnolialedge/explain.go
+++ b/cmd/magnolialedge/explain.go
@@ -99,6 +99,9 @@
 		if shortage := formatShortage(l.fields); shortage != "" {
 			b.WriteString("  " + shortage + "\n")
 		}
+		if quota := formatQuota(l.fields); quota != "" {
+			b.WriteString("  " + quota + "\n")
+		}
 		for attempt := range strings.FieldsSeq(l.fields["attempts"]) {
 			b.WriteString("  " + formatAttempt(attempt) + "\n")
 			name, _, _ := strings.Cut(attempt, ":")
@@ -131,6 +134,20 @@
 	return text + "; " + formatContact(fields)
 }
 
+// formatQuota describes the limit of the account by which a request was refused, or returns
+// "" if the line has none.
+func formatQuota(fields map[string]string) string {
+	if fields["accountLimit"] == "" {
+		return ""
+	}
+	grant := "this entry had no credits yet"
+	if age := fields["grantAgeMs"]; age != "-1" {
+		grant = "the last credits were granted " + age + " ms before"
+	}
+	return fmt.Sprintf("refused for account %s, whose limit is %s a second; this entry had %s requests a second of it and a share of %s; %s by %s",
+		fields["account"], fields["accountLimit"], fields["accountUse"], fields["accountShare"], grant, cmp.Or(fields["accountOwner"], "no owner"))
+}
+
 // formatContact describes how the entry reached the upstreams of the service.
 func formatContact(fields map[string]string) string {
 	last := "no upstream of the service had ever responded"
--- a/cmd/magnolialedge/explain_test.go
+++ b/cmd/magnolialedge/explain_test.go
@@ -41,6 +41,12 @@
 	}
 }
 
+func TestReportOfRefusalNamesTheLimitOfTheAccount(t *testing.T) {
+	lines, err := parseLog(strings.NewReader("event=3101 requestId=r1 result=overQuota account=shop accountLimit=20 accountOwner=e7 accountShare=1.5 accountUse=9.25 grantAgeMs=412\n"))
+	require.NoError(t, err)
+	require.Contains(t, requestReport("r1", lines), "refused for account shop, whose limit is 20 a second; this entry had 9.25 requests a second of it and a share of 1.5; the last credits were granted 412 ms before by e7")
+}
+
 func TestEmptyRequestIDIsAnError(t *testing.T) {
 	require.ErrorContains(t, (&explainCommand{ID: " "}).Run(), "the request ID is empty")
 }
--- a/core/acct/holder.go
+++ b/core/acct/holder.go
@@ -259,3 +259,11 @@
 	}
 	return s
 }
+
+// GrantAgeMs returns GrantAge in milliseconds, or -1 if no credits were granted.
+func (s Standing) GrantAgeMs() int64 {
+	if s.GrantAge < 0 {
+		return -1
+	}
+	return s.GrantAge.Milliseconds()
+}
--- a/core/acct/sim_test.go
+++ b/core/acct/sim_test.go
@@ -62,6 +62,8 @@
 	lossRatio float64
 	// isKnown reports whether an entry lists another one. If it is nil, all list all.
 	isKnown func(viewer, e *simEntry) bool
+	// decide decides on a request instead of the credits, unless it is nil.
+	decide func(e *simEntry) bool
 
 	admitted      []time.Time
 	countFrom     int
@@ -244,6 +246,12 @@
 		s.unavailable++
 		return
 	}
+	if s.decide != nil {
+		if s.decide(e) {
+			s.admit(e)
+		}
+		return
+	}
 	switch v, _ := e.holder.Take(s.now, testAccount); v {
 	case Admitted:
 		s.admit(e)
--- a/io/node/credits.go
+++ b/io/node/credits.go
@@ -393,5 +393,5 @@
 	if a.Verdict == acct.Unavailable {
 		e = event.QuotaOwnerUnreachable
 	}
-	c.log.Log(e, "account", account, "owner", a.Owner, "limit", a.Limit.Rate, "share", a.Standing.Share, "use", a.Standing.Rate, "grantAgeMs", a.Standing.GrantAge.Milliseconds())
+	c.log.Log(e, "account", account, "owner", a.Owner, "limit", a.Limit.Rate, "share", a.Standing.Share, "use", a.Standing.Rate, "grantAgeMs", a.Standing.GrantAgeMs())
 }
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -87,6 +87,8 @@
 	// Isolated is set while the entry reaches no upstream.
 	Isolated bool `json:"isolated"`
 	Members  any  `json:"members"`
+	// Accounts holds the client accounts with a limit.
+	Accounts []accountDump `json:"accounts,omitempty"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -103,6 +105,7 @@
 			Leaving:  n.isLeaving.Load(),
 			Isolated: n.forwarder.IsIsolated(),
 			Members:  n.members.list(),
+			Accounts: n.credits.dump(time.Now()),
 		})
 	})
 	return e
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -9,6 +9,7 @@
 // registerGauges registers gauges for what this entry knows of the store and of the
 // upstreams, so that entries that lag behind can be found by comparison.
 func (n *Node) registerGauges() {
+	n.credits.registerGauges(n.registry)
 	gauges := []struct {
 		name, help string
 		value      func() float64
--- a/io/serve/quota.go
+++ b/io/serve/quota.go
@@ -45,6 +45,6 @@
 		"accountOwner", a.Owner,
 		"accountShare", a.Standing.Share,
 		"accountUse", a.Standing.Rate,
-		"grantAgeMs", a.Standing.GrantAge.Milliseconds(),
+		"grantAgeMs", a.Standing.GrantAgeMs(),
 	}
 }
