Check the arithmetic of the bound in short windows and during bursts

Cause: at a constant load the bound of 5 s leaves room in which faults of the owner are not seen.

Change: requireBound also checks windows of 50 ms to 2 s against burst + spare + rate x window; a burst after low load, when most credits are unspent; a second candidate that does not reach the owner while half of the entries do; late replies reach the holder.

--- a/core/acct/quota_test.go
+++ b/core/acct/quota_test.go
@@ -14,9 +14,14 @@
 // fleetSizes are the numbers of entries that the deployments have.
 var fleetSizes = []int{14, 116, 312}
 
-// requireBound fails if more requests were admitted in any window than the hard bound allows.
+// requireBound fails if more requests were admitted in any window than the hard bound
+// allows, or in shorter ones than the arithmetic in quotas.md does.
 func requireBound(t require.TestingT, s *sim) {
 	require.LessOrEqual(t, float64(s.worstWindow()), s.bound.Max(s.limit))
+	for _, window := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
+		most := s.limit.Burst + s.bound.spare(s.limit) + s.limit.Rate*window.Seconds()
+		require.LessOrEqual(t, float64(s.mostWithin(window)), most, window)
+	}
 }
 
 // runLoad offers a multiple of the limit, uneven and moving, for d after settleTime.
@@ -127,10 +132,10 @@
 		s.isCut = func(a, b *simEntry) bool { return a != b && (a == owner || b == owner) }
 	}},
 	{"two owners reached by halves", func(s *sim) {
-		owner := s.ownerEntry()
-		s.isCut = func(a, b *simEntry) bool {
-			return (a == owner && b.index%2 == 0) || (b == owner && a.index%2 == 0)
-		}
+		names := s.candidates(testAccount)
+		owner, third := s.find(names[0]), s.find(names[2])
+		isLost := func(e *simEntry) bool { return e.Name == names[1] || (e != third && e.index%2 == 0) }
+		s.isCut = func(a, b *simEntry) bool { return (a == owner && isLost(b)) || (b == owner && isLost(a)) }
 	}},
 	{"halves cut from each other", func(s *sim) {
 		s.isCut = func(a, b *simEntry) bool { return (a.index < len(s.entries)/2) != (b.index < len(s.entries)/2) }
@@ -188,6 +193,26 @@
 	}
 }
 
+// Guards against credits of an earlier owner, or of lost replies, that are spent together
+// with those of a new one: load below the limit leaves as many unspent as possible, and then
+// all are spent while owners change.
+func TestBurstDuringFaultsKeepsTheBound(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				s := newSim(seed, 40, 20)
+				s.load(10, 13*time.Second, s.uneven())
+				s.runFor(12 * time.Second)
+				f.apply(s)
+				s.runFor(time.Duration(seed) * 400 * time.Millisecond)
+				s.load(20*30, 8*time.Second, func() *simEntry { return s.entries[s.rng.IntN(len(s.entries))] })
+				s.runFor(8 * time.Second)
+				requireBound(t, s)
+			}
+		})
+	}
+}
+
 // Guards against an account that stays refused after its owner has ended.
 func TestServiceResumesAfterTheOwnerEnds(t *testing.T) {
 	for _, f := range faults[:4] {
--- a/core/acct/sim_test.go
+++ b/core/acct/sim_test.go
@@ -342,7 +342,11 @@
 			s.sendBallots(owner, ballots)
 		}
 		s.deliver(owner, e, func() {
-			if ended || run != e.StartedAt {
+			switch {
+			case run != e.StartedAt:
+				return
+			case ended:
+				s.applyLate(e, m, replies)
 				return
 			}
 			ended = true
@@ -353,6 +357,13 @@
 	})
 }
 
+// applyLate gives an entry a reply that comes late or again, which must have no effect.
+func (s *sim) applyLate(e *simEntry, m Message, replies map[string]Reply) {
+	for _, d := range m.Draws {
+		e.holder.Apply(s.now, d.Account, d.Number, replies[d.Account].Grant)
+	}
+}
+
 func (s *sim) sendBallots(e *simEntry, ballots []Ballot) {
 	for _, b := range ballots {
 		to := s.find(b.To)
@@ -413,9 +424,14 @@
 
 // worstWindow returns the largest number of admitted requests in any window of the bound.
 func (s *sim) worstWindow() int {
+	return s.mostWithin(s.bound.Window)
+}
+
+// mostWithin returns the largest number of admitted requests in any window.
+func (s *sim) mostWithin(window time.Duration) int {
 	most, first := 0, 0
 	for i, at := range s.admitted {
-		for at.Sub(s.admitted[first]) >= s.bound.Window {
+		for at.Sub(s.admitted[first]) >= window {
 			first++
 		}
 		most = max(most, i-first+1)
