--- a/io/node/credits_test.go
+++ b/io/node/credits_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -135,6 +136,27 @@
 	require.Equal(t, 1, strings.Count(logs.String(), "creditMessageInvalid"))
 }
 
+// The processor time of a message and its reply, at both ends together.
+func BenchmarkDrawOverHTTP(b *testing.B) {
+	self := acct.Run{Name: "a", StartedAt: 1}
+	c := newCredits(time.Now(), self, quotaBound(Settings{}), func() []magnolialedge.Instance { return nil }, nil, newCreditMetrics(prometheus.NewRegistry()), event.Logger{})
+	e := echo.New()
+	e.POST(creditPath, (&creditHandler{credits: c}).handleDraw)
+	server := httptest.NewServer(e)
+	defer server.Close()
+	to := magnolialedge.Instance{PeerAddress: strings.TrimPrefix(server.URL, "http://")}
+	m := acct.Message{Draws: []acct.AccountDraw{{Account: quotaAccount, Draw: acct.Draw{Number: 1, Want: 1}}, {Account: "free", Draw: acct.Draw{Number: 1, Want: 1}}}}
+	var before, after syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &before))
+	for b.Loop() {
+		_, err := creditClient{client: http.DefaultClient, self: self}.draw(b.Context(), to, m, 1)
+		require.NoError(b, err)
+	}
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &after))
+	spent := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+	b.ReportMetric(float64(spent)/float64(b.N), "cpu-ns/op")
+}
+
 // The target is 2 us for the quota of a request.
 func BenchmarkAdmit(b *testing.B) {
 	self := magnolialedge.Instance{Name: "a", Protocol: 1}
