--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -63,6 +63,10 @@
 	HandoverRefused         = Event{3124, "handoverRefused", Warning, "A connection for requests that another entry hands over was refused, because its address is not that of a known entry. At most one line a minute and peer."}
 	HelperUnreachable       = Event{3125, "helperUnreachable", Info, "A connection to another entry for handing over a request could not be opened."}
 	PeerCheckFailed         = Event{3126, "peerCheckFailed", Info, "Another entry asked whether this one reaches an upstream, and a new connection to the upstream failed."}
+	QuotaExhausted          = Event{3130, "quotaExhausted", Info, "Requests of a client account exceed its limit and are refused. At most one line a second and account."}
+	QuotaOwnerChanged       = Event{3131, "quotaOwnerChanged", Info, "Another entry than before grants the credits of a client account."}
+	QuotaOwnerUnreachable   = Event{3132, "quotaOwnerUnreachable", Warning, "No entry replied that may grant the credits of a client account, and its requests are refused. At most one line a second and account."}
+	CreditMessageInvalid    = Event{3133, "creditMessageInvalid", Warning, "A message about credits from another entry was refused because it is invalid. At most one line a minute and peer."}
 	KeyTableFull            = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver              = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed          = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
@@ -86,7 +90,8 @@
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
 		UpstreamLimited, UpstreamLimitEnded, UpstreamNoticeInvalid, UpstreamPaused, UpstreamLossUnconfirmed,
 		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid, UpstreamCold, UpstreamColdEnded,
-		AccountsReplaced, AccountKeyConflict, HandoverRefused, HelperUnreachable, PeerCheckFailed, KeyTableFull, HandedOver,
+		AccountsReplaced, AccountKeyConflict, HandoverRefused, HelperUnreachable, PeerCheckFailed,
+		QuotaExhausted, QuotaOwnerChanged, QuotaOwnerUnreachable, CreditMessageInvalid, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -60,6 +60,9 @@
 	e.GET(handoverPath, n.acceptHandovers)
 	e.POST(endReportPath, n.handleEndReport)
 	e.POST(limitReportPath, n.handleLimitReport)
+	quotas := &creditHandler{credits: n.credits, log: n.log, loggedAt: map[string]time.Time{}}
+	e.POST(creditPath, quotas.handleDraw)
+	e.POST(votePath, quotas.handleVote)
 	e.POST(memberPath, func(c echo.Context) error {
 		var in magnolialedge.Instance
 		if err := json.NewDecoder(io.LimitReader(c.Request().Body, maxPeerMessageBytes)).Decode(&in); err != nil {
@@ -91,7 +94,9 @@
 	Cold []coldUpstream `json:"cold,omitempty"`
 	// Accounts holds the client accounts, or is missing if there are none.
 	Accounts []serve.AccountState `json:"accounts,omitempty"`
-	Members  any                  `json:"members"`
+	// Limits holds the client accounts with a limit, and their credits.
+	Limits  []accountDump `json:"accountLimits,omitempty"`
+	Members any           `json:"members"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -111,6 +116,7 @@
 			Members:   n.members.list(),
 			Cold:      n.coldUpstreams(),
 			Accounts:  n.forwarder.AccountStates(),
+			Limits:    n.credits.dump(time.Now()),
 		})
 	})
 	return e
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"magnolialedge"
+	"magnolialedge/core/acct"
 	core "magnolialedge/core/mirror"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
@@ -56,6 +57,7 @@
 	members      *members
 	quotas       *quotaSharer
 	evacuations  *evacuations
+	credits      *credits
 	follower     *mirror.Follower
 	pool         *link.Pool
 	forwarder    *serve.Forwarder
@@ -118,6 +120,8 @@
 	n.members = newMembers(n.self())
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
+	n.peerClient = &http.Client{Transport: dialer.Transport("")}
+	n.credits = newCredits(n.start, n.run(), quotaBound(s), n.members.list, creditClient{client: n.peerClient, self: n.run()}, newCreditMetrics(n.registry), n.log)
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
 	n.helperPool = link.NewPool(link.PoolConfig{Dialer: n.newHandoverDialer(), Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
@@ -147,6 +151,7 @@
 		ReportCrash: n.broadcastCrash,
 		ReportLimit: n.reportLimit,
 		ReportCold:  n.reportCold,
+		Quotas:      n.credits,
 	})
 	n.callerServer = front.NewServer(front.Config{
 		Handler:            n.forwarder,
@@ -164,7 +169,6 @@
 	}, []string{"call"})
 	n.registry.MustRegister(calls)
 	n.store = cfg.NewStore(s.StoreAddress, conn.NewDialer(conn.DialerConfig{Timeout: storeDialTimeout}).Transport(""), func(call string) { calls.WithLabelValues(call).Inc() })
-	n.peerClient = &http.Client{Transport: dialer.Transport("")}
 	n.follower = mirror.NewFollower(mirror.Config{
 		Store:            n.store,
 		OnChange:         n.applyChanges,
@@ -227,6 +231,11 @@
 	}
 }
 
+// run returns what identifies this run of the entry.
+func (n *Node) run() acct.Run {
+	return acct.Run{Name: n.settings.Name, StartedAt: n.start.UnixMilli()}
+}
+
 // Run serves until ctx is done, then drains the requests in flight for no longer
 // than StopTimeout and returns. Settings received from reload replace the current
 // ones. Run returns an error if it cannot listen on an address.
@@ -241,6 +250,7 @@
 	go n.helperPool.Run(workCtx)
 	defer n.forwarder.Close()
 	go n.follower.Run(workCtx)
+	go n.credits.run(workCtx)
 	announced := make(chan struct{})
 	announceCtx, stopAnnouncing := context.WithCancel(workCtx)
 	go func() {
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -56,6 +56,8 @@
 	// ReportCold notifies the other entries that an upstream is cold for the remaining time,
 	// or no longer if that is 0. It may be nil.
 	ReportCold func(r magnolialedge.Registration, remaining time.Duration)
+	// Quotas keeps the limits of client accounts. It may be nil.
+	Quotas AccountQuotas
 }
 
 // Forwarder proxies the requests of callers to upstreams. It implements
@@ -325,7 +327,8 @@
 	h := http.Header{}
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
-	if spec.Status == http.StatusServiceUnavailable && retryAfter > 0 {
+	mayRetry := spec.Status == http.StatusServiceUnavailable || spec.Status == http.StatusTooManyRequests
+	if mayRetry && retryAfter > 0 {
 		h.Set("Retry-After", formatSeconds(retryAfter))
 	}
 	return &front.Response{
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -53,6 +53,7 @@
 	if x.pickReq.Regions != nil {
 		fields = append(fields, "regions", strings.Join(x.pickReq.Regions, ","))
 	}
+	fields = append(fields, x.quotaFields()...)
 	x.f.cfg.Log.Log(event.RequestServed, append(fields, x.shortageFields()...)...)
 }
 
