Limit the outstanding credits so that a new owner keeps the bound

Cause: the credits of an owner that is killed may be spent in the second after it, together with what the new owner grants; for windows that begin then, the sum could exceed the bound.

Change: at most the spare credits and half of the burst are outstanding, and a new owner keeps to the other half for a second. Three quarters may be ahead of need.

--- a/core/acct/holder.go
+++ b/core/acct/holder.go
@@ -22,6 +22,8 @@
 	// aheadRetry is the time between two requests for credits ahead of need if the owner
 	// granted fewer than the holder wants.
 	aheadRetry = 200 * time.Millisecond
+	// deniedRetry is the same if it granted none, as to many holders of a small account.
+	deniedRetry = 500 * time.Millisecond
 	// forgetTime is the time without a request after which a holder forgets an account.
 	forgetTime = time.Minute
 )
@@ -207,6 +209,9 @@
 	}
 	if p.left < p.waiting+p.target(now) {
 		p.aheadAt = now.Add(aheadRetry)
+		if g.Granted == 0 {
+			p.aheadAt = now.Add(deniedRetry)
+		}
 	}
 	if g.Exhausted > 0 {
 		p.exhaustedUntil = now.Add(g.Exhausted)
--- a/core/acct/owner.go
+++ b/core/acct/owner.go
@@ -21,14 +21,17 @@
 	// depthShare is the part of the spare credits by which the bucket is deeper than the
 	// burst. It makes up for the credits that are unspent at other holders.
 	depthShare = 0.5
-	// aheadShare is the part of the burst that may be outstanding ahead of need in
-	// addition to the spare credits. The rest stays in the bucket.
-	aheadShare = 0.5
+	// outstandingShare is the part of the burst that may be outstanding in addition to the
+	// spare credits. The rest is for a new owner, which does not know what is outstanding.
+	outstandingShare = 0.5
 	// entitledTime is the time for which a holder accumulates credits of its share.
 	entitledTime = 600 * time.Millisecond
 	// aheadScarce is the time for which a holder receives credits ahead of need while the
 	// limit is short.
 	aheadScarce = 400 * time.Millisecond
+	// aheadShare is the part of the outstanding credits that may be granted ahead of need.
+	// Credits for requests that wait use the rest for a moment.
+	aheadShare = 0.75
 	// fairInterval is the time between two computations of the fair ratio.
 	fairInterval = 50 * time.Millisecond
 	// minExhausted and maxExhausted limit the time for which a holder does not ask again.
@@ -131,13 +134,13 @@
 }
 
 // capacity returns the largest number of tokens at present. Until the credits of an
-// earlier owner have expired, the bucket and the credits of this one stay within the
-// burst.
+// earlier owner have expired, the bucket and the credits of this one stay within the part of
+// the burst that cannot be outstanding at the earlier one.
 func (b *bucket) capacity(now time.Time) float64 {
-	spare := 0.0
-	if now.Sub(b.startedAt) > CreditLife {
-		spare = b.bound.spare(b.limit)
+	if now.Sub(b.startedAt) <= CreditLife {
+		return b.limit.Burst*(1-outstandingShare) - float64(b.outstanding)
 	}
+	spare := b.bound.spare(b.limit)
 	return min(b.limit.Burst+spare*depthShare, b.limit.Burst+spare-float64(b.outstanding))
 }
 
@@ -176,7 +179,7 @@
 	elapsed := now.Sub(h.askedAt)
 	h.number, h.rate, h.askedAt = draw.Number, draw.Rate, now
 	g := Grant{Kept: kept, Valid: needLife}
-	need, want := max(0, draw.Need), max(0, draw.Want, draw.Need)
+	need, want := max(0, draw.Need), min(max(0, draw.Want, draw.Need), b.outstandingRoom())
 	if g.Share = b.share(now, h); g.Share > 0 {
 		g.Granted = b.grantShare(h, g.Share, elapsed, min(want, need+int(g.Share*aheadScarce.Seconds())))
 	} else {
@@ -214,15 +217,25 @@
 // grantWanted returns the number of credits for a holder while there is enough for all.
 // Credits ahead of need leave a reserve.
 func (b *bucket) grantWanted(need, want int) int {
-	granted := min(need, int(b.tokens))
-	burst := b.limit.Burst
+	granted := min(need, want, int(b.tokens))
+	reserve := b.limit.Burst*reserveShare + b.bound.spare(b.limit)*depthShare*spareReserveShare
 	room := min(
-		b.tokens-float64(granted)-burst*reserveShare-b.bound.spare(b.limit)*depthShare*spareReserveShare,
-		b.bound.spare(b.limit)+burst*aheadShare-float64(b.outstanding+granted),
+		b.tokens-float64(granted)-reserve,
+		aheadShare*b.outstandingLimit()-float64(b.outstanding+granted),
 	)
 	return granted + max(0, min(want-granted, int(math.Floor(room))))
 }
 
+// outstandingRoom returns the number of further credits that may be outstanding.
+func (b *bucket) outstandingRoom() int {
+	return max(0, int(b.outstandingLimit())-b.outstanding)
+}
+
+// outstandingLimit returns the largest number of credits that may be outstanding.
+func (b *bucket) outstandingLimit() float64 {
+	return max(1, b.bound.spare(b.limit)+b.limit.Burst*outstandingShare)
+}
+
 // grantShare returns the number of credits for a holder while all want more than there
 // is: what its share has accumulated, and what the reserve leaves.
 func (b *bucket) grantShare(h *holderState, share float64, elapsed time.Duration, want int) int {
--- a/core/acct/quota_test.go
+++ b/core/acct/quota_test.go
@@ -18,6 +18,7 @@
 // allows, or in shorter ones than the arithmetic in quotas.md does.
 func requireBound(t require.TestingT, s *sim) {
 	require.LessOrEqual(t, float64(s.worstWindow()), s.bound.Max(s.limit))
+	require.LessOrEqual(t, float64(s.mostOutstanding), max(1, s.bound.spare(s.limit)+s.limit.Burst*outstandingShare))
 	for _, window := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
 		most := s.limit.Burst + s.bound.spare(s.limit) + s.limit.Rate*window.Seconds()
 		require.LessOrEqual(t, float64(s.mostWithin(window)), most, window)
--- a/core/acct/sim_test.go
+++ b/core/acct/sim_test.go
@@ -65,17 +65,19 @@
 	// decide decides on a request instead of the credits, unless it is nil.
 	decide func(e *simEntry) bool
 
-	admitted      []time.Time
-	countFrom     int
-	central       int
-	centralBucket *bucketOfAll
-	sent          int
-	refused       int
-	unavailable   int
-	waited        int
-	messages      int
-	maxWait       time.Duration
-	byEntry       map[string]*[2]int
+	admitted []time.Time
+	// mostOutstanding is the largest number of credits that the holders had at a time.
+	mostOutstanding int
+	countFrom       int
+	central         int
+	centralBucket   *bucketOfAll
+	sent            int
+	refused         int
+	unavailable     int
+	waited          int
+	messages        int
+	maxWait         time.Duration
+	byEntry         map[string]*[2]int
 }
 
 // bucketOfAll is a token bucket that sees all requests at once.
@@ -351,12 +353,23 @@
 			}
 			ended = true
 			asker.Done(s.now, m, replies)
+			s.countOutstanding()
 			s.wake(e)
 			s.ask(e)
 		})
 	})
 }
 
+func (s *sim) countOutstanding() {
+	n := 0
+	for _, e := range s.entries {
+		if !e.dead {
+			n += e.holder.Standing(s.now, testAccount).Left
+		}
+	}
+	s.mostOutstanding = max(s.mostOutstanding, n)
+}
+
 // applyLate gives an entry a reply that comes late or again, which must have no effect.
 func (s *sim) applyLate(e *simEntry, m Message, replies map[string]Reply) {
 	for _, d := range m.Draws {
