Let credits that are given back keep no owner

Cause: TestIdleAccountCausesNoMessages saw two messages: a holder that gives its last credits back after ten idle seconds kept the owner's votes for ten more.

Change: such a request does not count for the time for which an owner keeps its votes.

Result: the test passes. TestAccountBelowTwoThirdsIsNotRefused fails at 312 entries and 20 requests a second: 1 request is refused, none is allowed.

--- a/core/acct/seat.go
+++ b/core/acct/seat.go
@@ -47,7 +47,8 @@
 	elections map[string]*election
 	// resigned is set when the entry is about to stop.
 	resigned bool
-	// drawnAt holds the time of the last request for credits by account.
+	// drawnAt holds the time of the last request for credits by account. One that only gives
+	// credits back needs no owner.
 	drawnAt map[string]time.Time
 }
 
@@ -74,7 +75,9 @@
 		return Reply{Status: Declined}, nil
 	}
 	remaining := s.tenure.Remaining(now, d.Account, candidates)
-	s.drawnAt[d.Account] = now
+	if d.Want > 0 || d.Left > 0 {
+		s.drawnAt[d.Account] = now
+	}
 	if remaining == 0 {
 		return s.drawWithoutTenure(now, d.Account, candidates)
 	}
