--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -15,6 +15,8 @@
 // soakCommand runs soak tests of entries with random faults.
 type soakCommand struct {
 	Binary            string        `name:"program" help:"Path of the magnolialedge binary." default:"target/magnolialedge"`
+	PreviousBinary    string        `name:"previous" help:"Path of the binary of an earlier release (see scripts/previous). If set, entries start and restart with either."`
+	InitialRelease    string        `name:"first" help:"Release that the entries run at first, with --previous." enum:"current,previous,mixed" default:"mixed"`
 	Entries           int           `help:"Number of entries." default:"6"`
 	Upstreams         int           `help:"Number of upstreams." default:"9"`
 	RequestsPerSecond float64       `name:"rate" help:"Requests per second from each of two regions." default:"60"`
@@ -59,13 +61,16 @@
 	}
 	defer faultLog.Close()
 	r, err := soak.Run(ctx, soak.Config{
-		Binary: c.Binary, Dir: dir, Entries: c.Entries, Upstreams: c.Upstreams,
+		Binary: c.Binary, PreviousBinary: c.PreviousBinary, InitialRelease: soak.Release(c.InitialRelease), Dir: dir, Entries: c.Entries, Upstreams: c.Upstreams,
 		RequestsPerSecond: c.RequestsPerSecond, Duration: c.Duration, Seed: seed, FaultLog: faultLog,
 	})
 	if err != nil {
 		return 0, err
 	}
 	fmt.Printf("seed %d: %d faults, %d calls, %d answered, %d refused, %d breaches\n", seed, r.Faults, r.Requests, r.Succeeded, r.Rejected, len(r.Breaches))
+	if c.PreviousBinary != "" {
+		fmt.Printf("seed %d: %d starts with the current release, %d with the previous one\n", seed, r.Starts[soak.ReleaseCurrent], r.Starts[soak.ReleasePrevious])
+	}
 	for _, b := range r.Breaches {
 		fmt.Println("BREACH:", b)
 	}
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -15,6 +15,10 @@
 type Config struct {
 	// Binary is the path of the magnolialedge binary that the entries run.
 	Binary string
+	// PreviousBinary is the binary of an earlier release. If it is set, the entries start
+	// with either, and InitialRelease tells with which at first.
+	PreviousBinary string
+	InitialRelease Release
 	// Dir is the directory for the settings files and logs of the entries.
 	Dir       string
 	Entries   int
@@ -50,6 +54,8 @@
 	lastVersion    int64
 	configVersions []configVersion
 	breaches       []string
+	// starts counts the starts of entries by release, if there are two.
+	starts map[Release]int
 	// reserved holds the entries and upstreams that a fault stops, restarts or
 	// drains now.
 	reserved map[any]bool
@@ -58,7 +64,7 @@
 // newCluster starts a cluster. After an error, the cluster it returns is incomplete
 // and must be closed.
 func newCluster(cfg Config) (*cluster, error) {
-	cl := &cluster{cfg: cfg, store: platform.NewStore(), disturbances: newDisturbances(), reserved: map[any]bool{}}
+	cl := &cluster{cfg: cfg, store: platform.NewStore(), disturbances: newDisturbances(), reserved: map[any]bool{}, starts: map[Release]int{}}
 	cl.writeConfig()
 	for i := range cfg.Upstreams {
 		u, err := newUpstream(cl.store, i, zones[i%len(zones)])
@@ -74,6 +80,7 @@
 		}
 		cl.entries = append(cl.entries, e)
 	}
+	cl.chooseInitialReleases()
 	for i, e := range cl.entries {
 		e.settings.SeedPeers = []string{cl.entries[(i+1)%len(cl.entries)].settings.PeerAddress, cl.entries[(i+2)%len(cl.entries)].settings.PeerAddress}
 		if err := e.start(); err != nil {
--- a/io/soak/entry.go
+++ b/io/soak/entry.go
@@ -30,7 +30,6 @@
 	// file for standard output and standard error.
 	settingsPath, logPath string
 	metricsPort           int
-	binary                string
 	// storeLink forwards the connections from the entry to the store, and
 	// linkListener accepts them.
 	storeLink    *stand.Link
@@ -40,7 +39,9 @@
 	upstreamLink *stand.Link
 	gateway      *stand.Server
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// binary is the path of the program that start runs.
+	binary  string
 	current *process
 	// isStopExpected is true once the process has been signalled to stop.
 	isStopExpected bool
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -66,24 +66,19 @@
 	defer cl.disturbances.begin(e.settings.Name)()
 	e.stop(syscall.SIGKILL)
 	pause.Sleep(ctx, randomDuration(r))
+	cl.setRelease(e, ReleaseMixed, r)
 	return e.start()
 }
 
-// stopEntry stops an entry gracefully and starts it again. A disturbance is
-// recorded only from its exit to its start, so time limits are checked while it
-// stops.
+// stopEntry stops an entry gracefully and starts it again.
 func stopEntry(_ context.Context, cl *cluster, r *rand.Rand) error {
 	e, release, ok := reserve(cl, r, cl.entries)
 	if !ok {
 		return nil
 	}
 	defer release()
-	signalledAt := time.Now()
-	if e.stop(syscall.SIGTERM) {
-		cl.breach("%s did not stop within %s of SIGTERM at %s", e.settings.Name, stopTimeout, signalledAt.Format(time.StampMilli))
-	}
-	defer cl.disturbances.begin(e.settings.Name)()
-	return e.start()
+	cl.setRelease(e, ReleaseMixed, r)
+	return cl.restartGracefully(e)
 }
 
 // hangUpEntry sends SIGHUP to an entry, which reloads its settings.
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -37,6 +37,8 @@
 	Rejected  int
 	Faults    int
 	Breaches  []string
+	// Starts counts the starts of entries by release, if there are two.
+	Starts map[Release]int
 }
 
 // Run starts a cluster, injects faults into it under load, and returns the counts
@@ -115,6 +117,12 @@
 			}
 		})
 	}
+	group.Go(func() {
+		err := cl.rollOut(limitedCtx)
+		mu.Lock()
+		defer mu.Unlock()
+		errs = errors.CombineErrors(errs, err)
+	})
 	group.Wait()
 	return n, errs
 }
@@ -156,7 +164,7 @@
 	cl.checkLimits(senders)
 	cl.checkNotices(senders)
 	cl.checkCuts(all)
-	result := Result{Requests: len(all), Breaches: cl.breaches}
+	result := Result{Requests: len(all), Breaches: cl.breaches, Starts: cl.starts}
 	for _, o := range all {
 		switch {
 		case o.err == nil && o.response.Status == http.StatusOK:
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -73,16 +73,23 @@
 	binary := buildBinary(t)
 	for _, c := range soakSeeds {
 		t.Run(fmt.Sprint(c.seed, c.cause), func(t *testing.T) {
-			dir := t.TempDir()
-			faultLog, err := os.Create(filepath.Join(dir, "faults.txt"))
-			require.NoError(t, err)
-			defer faultLog.Close()
-			r, err := Run(context.Background(), Config{
-				Binary: binary, Dir: dir, Entries: 4, Upstreams: 6, RequestsPerSecond: 40, Duration: 8 * time.Second, Seed: c.seed, FaultLog: faultLog,
-			})
-			require.NoError(t, err)
-			require.Empty(t, r.Breaches)
-			require.Greater(t, r.Succeeded, r.Requests/2)
+			runShortSoak(t, Config{Binary: binary, Seed: c.seed})
 		})
 	}
 }
+
+// runShortSoak runs a short soak test and expects no violated invariant.
+func runShortSoak(t *testing.T, cfg Config) Result {
+	t.Helper()
+	cfg.Dir = t.TempDir()
+	cfg.Entries, cfg.Upstreams, cfg.RequestsPerSecond, cfg.Duration = 4, 6, 40, 8*time.Second
+	faultLog, err := os.Create(filepath.Join(cfg.Dir, "faults.txt"))
+	require.NoError(t, err)
+	defer faultLog.Close()
+	cfg.FaultLog = faultLog
+	r, err := Run(context.Background(), cfg)
+	require.NoError(t, err)
+	require.Empty(t, r.Breaches)
+	require.Greater(t, r.Succeeded, r.Requests/2)
+	return r
+}
