Share no limit of a cold upstream with entries that do not keep it

Entries of protocol 0 send to cold upstreams as to warm ones. New entries left them out of the count of holders and added their own shares to what these send. They take no share now while callers at the upstream's place are steered to an entry of protocol 0.

--- a/io/node/limit.go
+++ b/io/node/limit.go
@@ -110,15 +110,12 @@
 	return q.hosts[service]
 }
 
-// coldProtocol is the first protocol of entries that keep the limits of cold upstreams.
-const coldProtocol = 1
-
 // steeredTTL is the time for which coldSharer uses the same entries for all upstreams of a
 // service and zone. A zone may have many cold ones, whose shares are updated together.
 const steeredTTL = 50 * time.Millisecond
 
-// coldSharer divides the limits of cold upstreams among the listed entries that keep them.
-// One that cannot be reached keeps its share, since it may still reach the upstream. It is
+// coldSharer divides the limits of cold upstreams among the listed entries, unless one does
+// not keep them. One that cannot be reached keeps its share, since it may still reach the upstream. It is
 // not safe for concurrent use.
 type coldSharer struct {
 	*quotaSharer
@@ -154,8 +151,7 @@
 }
 
 func (s *coldSharer) steeredTo(r magnolialedge.Registration) []magnolialedge.Instance {
-	all := slices.DeleteFunc(s.members.list(), func(in magnolialedge.Instance) bool { return in.Protocol < coldProtocol })
-	return proc.SteeredEntries(all, r.Service, s.placeOf(r), s.hostsOf(r.Service))
+	return proc.SteeredKeepers(s.members.list(), r.Service, s.placeOf(r), s.hostsOf(r.Service))
 }
 
 // coldUpstream describes an upstream that is cold, in the dump.
