Verify the bound of cold upstreams during an upgrade

The simulation of many entries had entries of one release only. In a further test they restart with this release at random times; a test of the soak keeps its choice of releases tied to the seed.

--- a/core/pick/cold_bound_test.go
+++ b/core/pick/cold_bound_test.go
@@ -36,6 +36,9 @@
 	// startsAt and stopsAt are in milliseconds; an entry that was there before starts far
 	// in the past.
 	startsAt, stopsAt int
+	// upgradedAt is when the entry restarts with this release. Before, it has protocol 0
+	// and its requests are not counted.
+	upgradedAt int
 	// memberDelay is how late the entry knows of other entries, and upstreamDelay of
 	// upstreams.
 	memberDelay, upstreamDelay int
@@ -55,8 +58,9 @@
 // QuotaShare implements magnolialedge.QuotaSharer.
 func (e *simEntry) QuotaShare(now time.Time, r magnolialedge.Registration) magnolialedge.QuotaShare {
 	ms := int(now.Sub(at(0)).Milliseconds())
-	share := proc.ShareQuota(e.view(ms), e.Name, r, proc.Place{Region: "r0", Zone: "z0"}, []string{"shop.example"})
-	if ms-e.startsAt < int(proc.MemberSettleTime.Milliseconds()) {
+	keepers := proc.SteeredKeepers(e.view(ms), r.Service, proc.Place{Region: "r0", Zone: "z0"}, []string{"shop.example"})
+	share := proc.ShareAmong(keepers, e.Name, r)
+	if ms-max(e.startsAt, e.upgradedAt) < int(proc.MemberSettleTime.Milliseconds()) {
 		share.Fraction = 0
 	}
 	return share
@@ -72,7 +76,11 @@
 	for _, o := range e.sim.entries {
 		isGone := known >= o.stopsAt || (o.isCutOff && !e.isCutOff && known >= e.sim.cutAt)
 		if o == e || (o.startsAt <= known && !isGone) {
-			out = append(out, o.Instance)
+			in := o.Instance
+			if o != e && known < o.upgradedAt {
+				in.Protocol = 0
+			}
+			out = append(out, in)
 		}
 	}
 	return out
@@ -108,7 +116,7 @@
 
 // step lets an entry learn what it can at a time, and send as much as it may.
 func (e *simEntry) step(ms int) {
-	if ms < e.startsAt || ms >= e.stopsAt {
+	if ms < max(e.startsAt, e.upgradedAt) || ms >= e.stopsAt {
 		return
 	}
 	for _, coldAt := range []int{simColdAt, simColdAgainAt} {
@@ -136,6 +144,15 @@
 	}
 }
 
+// run runs the simulation.
+func (s *simulation) run() {
+	for ms := 0; ms < simEnd; ms += simStep {
+		for _, e := range s.entries {
+			e.step(ms)
+		}
+	}
+}
+
 // most returns the largest number of requests in any second.
 func (s *simulation) most() int {
 	most := 0
@@ -154,11 +171,7 @@
 		worst, served := 0, 0
 		for seed := range size.seeds {
 			s := newSimulation(size.entries, rand.New(rand.NewPCG(uint64(seed), 7)))
-			for ms := 0; ms < simEnd; ms += simStep {
-				for _, e := range s.entries {
-					e.step(ms)
-				}
-			}
+			s.run()
 			require.LessOrEqual(t, float64(s.most()), simBound, "%d entries, seed %d", size.entries, seed)
 			worst = max(worst, s.most())
 			if len(s.sent) > 0 {
@@ -169,3 +182,25 @@
 		require.Equal(t, size.seeds, served)
 	}
 }
+
+// Guards against entries that, while others are still of the earlier release, together send
+// more than the bound. Load pattern: as above, and entries restart with this release at
+// random times until the upstream starts cold for the second time.
+func TestUpgradedEntriesTogetherKeepTheBoundOfAColdUpstream(t *testing.T) {
+	worst, served := 0, 0
+	for seed := range 60 {
+		rnd := rand.New(rand.NewPCG(uint64(seed), 8))
+		s := newSimulation(14, rnd)
+		for _, e := range s.entries {
+			e.upgradedAt = rnd.IntN(simColdAgainAt)
+		}
+		s.run()
+		require.LessOrEqual(t, float64(s.most()), simBound, "seed %d", seed)
+		worst = max(worst, s.most())
+		if len(s.sent) > 0 {
+			served++
+		}
+	}
+	t.Logf("at most %d requests in a second, some in %d of 60 runs", worst, served)
+	require.Positive(t, served)
+}
--- a/io/soak/release_test.go
+++ b/io/soak/release_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"os/exec"
 	"strings"
 	"testing"
@@ -40,6 +42,34 @@
 	return strings.TrimSpace(string(out))
 }
 
+// Guards against a seed that does not repeat its mixture of releases, and against one that
+// changes its faults although there is a single release.
+func TestReleasesFollowFromTheSeed(t *testing.T) {
+	binaries := func(cfg Config) (out []string) {
+		cl := emptyCluster()
+		cl.cfg, cl.starts = cfg, map[Release]int{}
+		cl.cfg.FaultLog = io.Discard
+		for range 20 {
+			cl.entries = append(cl.entries, &entry{binary: cfg.Binary})
+		}
+		cl.chooseInitialReleases()
+		for _, e := range cl.entries {
+			out = append(out, e.binary)
+		}
+		return out
+	}
+	mixed := Config{Binary: "new", PreviousBinary: "old", Seed: 5}
+	require.Equal(t, binaries(mixed), binaries(mixed))
+	require.Subset(t, binaries(mixed), []string{"new", "old"})
+	require.NotContains(t, binaries(Config{Binary: "new", Seed: 5}), "old")
+	mixed.InitialRelease = ReleasePrevious
+	require.NotContains(t, binaries(mixed), "new")
+
+	r, untouched := rand.New(rand.NewPCG(5, 0)), rand.New(rand.NewPCG(5, 0))
+	emptyCluster().setRelease(&entry{}, ReleaseMixed, r)
+	require.Equal(t, untouched.Uint64(), r.Uint64())
+}
+
 // TestShortMixedSoak guards against messages and stored items that one of two releases
 // side by side takes for something else.
 func TestShortMixedSoak(t *testing.T) {
