Let client accounts take turns in the queue of a service

Cause: waiting requests are ordered by the latency target and the priority of the route only, so an account that sends many requests takes the slots of all. Change: within a priority, accounts take turns by start-time fair queueing with equal weights; the cost is the expected service time. The account priority precedes that of the route. Once a request has an account, new requests do not pass waiting ones.

--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -18,6 +18,8 @@
 	Request Request
 	// EnqueuedAt is the time at which the request entered the queue.
 	EnqueuedAt time.Time
+	// Turn is the turn of the request's account that was spent on the request, if any.
+	Turn Turn
 	// Wake is called once, when a slot may be free or when the wait has timed
 	// out.
 	Wake func(WakeReason)
@@ -38,6 +40,7 @@
 // concurrent use.
 type Queue struct {
 	waiters []*Waiter
+	turns   map[turnClass]*turns
 }
 
 // Len returns the number of waiting requests.
@@ -48,13 +51,7 @@
 // Push adds a waiter. It returns false if the request is not expected to end
 // before its deadline.
 func (q *Queue) Push(now time.Time, w *Waiter, f *Fleet) bool {
-	ahead := 0
-	for _, x := range q.waiters {
-		if !isBefore(now, w, x, f) {
-			ahead++
-		}
-	}
-	wait, serviceTime := f.expectedWait(now, w.Request, ahead)
+	wait, serviceTime := f.expectedWait(now, w.Request, q.countAhead(now, w, f))
 	if !now.Add(wait + serviceTime).Before(w.Request.Deadline) {
 		return false
 	}
@@ -62,6 +59,12 @@
 	return true
 }
 
+// countAhead returns the number of waiters that are woken before w.
+func (q *Queue) countAhead(now time.Time, w *Waiter, f *Fleet) int {
+	ranks := q.rankAll(now, append(slices.Clone(q.waiters), w), f)
+	return slices.IndexFunc(ranks, func(r rank) bool { return r.waiter == w })
+}
+
 // Remove removes a waiter and reports whether it was in the queue.
 func (q *Queue) Remove(w *Waiter) bool {
 	i := slices.Index(q.waiters, w)
@@ -84,15 +87,9 @@
 // have a candidate, in order, and no more of them than there are free slots.
 func (q *Queue) Dispatch(now time.Time, f *Fleet) {
 	q.dropExpired(now, f)
-	slices.SortStableFunc(q.waiters, func(a, b *Waiter) int {
-		switch {
-		case isBefore(now, a, b, f):
-			return -1
-		case isBefore(now, b, a, f):
-			return 1
-		}
-		return 0
-	})
+	for i, r := range q.rankAll(now, q.waiters, f) {
+		q.waiters[i] = r.waiter
+	}
 	blocked := map[waiterClass]bool{}
 	var promised []*upstream
 	defer func() {
@@ -114,6 +111,7 @@
 		u := f.byID[found[0].ID]
 		u.reserve()
 		promised = append(promised, u)
+		q.TakeTurn(f, w.Request, &w.Turn)
 		w.Wake(WakeForCapacity)
 		return true
 	})
@@ -140,22 +138,6 @@
 	})
 }
 
-// isBefore reports whether a is woken before b. Waiters that can still meet their
-// soft deadline come first, then those of higher priority, then the latest arrivals.
-// In first-in first-out order, an overload would let
-// each request reach an upstream just after its soft deadline; the latest
-// arrivals have the most time left.
-func isBefore(now time.Time, a, b *Waiter, f *Fleet) bool {
-	canMeetA, canMeetB := f.canMeetTarget(now, a.Request), f.canMeetTarget(now, b.Request)
-	if canMeetA != canMeetB {
-		return canMeetA
-	}
-	if a.Request.Priority != b.Request.Priority {
-		return a.Request.Priority < b.Request.Priority
-	}
-	return a.Request.arrivedAt().After(b.Request.arrivedAt())
-}
-
 func (req Request) arrivedAt() time.Time {
 	return req.SoftDeadline.Add(-req.LatencyTarget)
 }
--- /dev/null
+++ b/core/pick/scarce_test.go
@@ -0,0 +1,88 @@
+package pick_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// constant returns a rate that does not change.
+func constant(perSecond float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return perSecond }
+}
+
+// hotAccountConfig describes 79 accounts that together use 0.8 of the capacity; from
+// 5 s on, one of them sends eight times its rate. 20 accounts send one request a second.
+func hotAccountConfig() simConfig {
+	cfg := simConfig{seed: 1, entries: 6, upstreamCount: 24, slots: 2, length: 20 * time.Second}
+	for i := range 78 {
+		rate := 11.0
+		if i < 20 {
+			rate = 1
+		}
+		cfg.sources = append(cfg.sources, simSource{account: fmt.Sprint("t", i), rate: constant(rate)})
+	}
+	cfg.sources = append(cfg.sources, simSource{account: "hot", rate: func(d time.Duration) float64 {
+		if d < 5*time.Second {
+			return 80
+		}
+		return 640
+	}})
+	return cfg
+}
+
+// accountShares returns the shares of requests in time by account, without the named
+// one, in ascending order.
+func accountShares(s *sim, without string) []float64 {
+	var out []float64
+	for name, c := range s.byAccount {
+		if name != without {
+			out = append(out, c.share())
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+// At loads of 0.92, 0.79 and 0.69 of the capacity, one of 79 accounts sends eight times
+// its rate. Today the excess is taken from all accounts.
+func TestHotAccountCostsOthersNothing(t *testing.T) {
+	for _, upstreams := range []int{24, 28, 32} {
+		t.Run(fmt.Sprint(upstreams), func(t *testing.T) {
+			cfg := hotAccountConfig()
+			cfg.upstreamCount = upstreams
+			hot := mean(accountShares(runSim(cfg), "hot"))
+			cfg.sources[len(cfg.sources)-1].rate = constant(80)
+			calm := mean(accountShares(runSim(cfg), "hot"))
+			t.Logf("others: %.3f, without the excess %.3f", hot, calm)
+			require.GreaterOrEqual(t, hot, 0.995*calm)
+		})
+	}
+}
+
+// The same load as in TestHotAccountCostsOthersNothing. In an overload, accounts with one
+// request a second must not be the ones that are lost.
+func TestLeastServedAccountsAreServedLikeAll(t *testing.T) {
+	s := runSim(hotAccountConfig())
+	shares := accountShares(s, "")
+	small := simCount{}
+	for i := range 20 {
+		c := s.byAccount[fmt.Sprint("t", i)]
+		small.all += c.all
+		small.inTime += c.inTime
+	}
+	t.Logf("all %.3f, mean of accounts %.3f, least tenth %.3f, one request a second %.3f, hot %.3f", s.total.share(), mean(shares), mean(shares[:8]), small.share(), s.byAccount["hot"].share())
+	require.GreaterOrEqual(t, mean(shares[:8]), 0.9*s.total.share())
+	require.GreaterOrEqual(t, small.share(), s.total.share())
+}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -50,6 +50,8 @@
 	// attempt yields a better one.
 	fallback  *link.Response
 	queueWait time.Duration
+	// turn is the turn of the request's account that was spent on the next attempt.
+	turn      pick.Turn
 	summaries []attemptSummary
 	errorKind magnolialedge.ErrorKind
 	// shortage and queued are the capacity and the number of queued requests for
@@ -223,13 +225,14 @@
 		}
 		f.mu.Lock()
 		candidates, available := f.fleet.Candidates(time.Now(), x.pickReq, maxCandidates)
+		mustQueue := x.mustQueue()
 		f.mu.Unlock()
 		if !available {
 			return nil, magnolialedge.KindNoUpstream
 		}
-		if len(candidates) == 0 {
+		if len(candidates) == 0 || mustQueue {
 			start := time.Now()
-			ok := f.waitForCapacity(ctx, x.pickReq, x.match.Service.HealthPath)
+			ok := f.waitForCapacity(ctx, x.pickReq, &x.turn, x.match.Service.HealthPath)
 			x.queueWait += time.Since(start)
 			if !ok {
 				return nil, magnolialedge.KindOverloaded
@@ -243,6 +246,13 @@
 	return nil, magnolialedge.KindDeadlineExceeded
 }
 
+// mustQueue reports whether the request does not take a free slot before waiting ones,
+// because the accounts take turns. The caller holds f.mu.
+func (x *exchange) mustQueue() bool {
+	q := x.f.queueFor(x.pickReq.Service)
+	return q.HasTurns() && q.Len() > 0 && !x.turn.IsTaken()
+}
+
 // chooseCandidate probes the candidates, begins an attempt at the best one and
 // returns it with a connection, or nil if none is left or connecting fails.
 // Because the best candidate after a probe may be one that was not probed, it
@@ -279,6 +289,8 @@
 		return nil, candidates
 	}
 	x.f.fleet.BeginAttempt(now, candidates[0].ID)
+	x.f.queueFor(x.pickReq.Service).TakeTurn(x.f.fleet, x.pickReq, &x.turn)
+	x.turn = pick.Turn{}
 	return &candidates[0], nil
 }
 
--- a/io/serve/queue.go
+++ b/io/serve/queue.go
@@ -38,11 +38,12 @@
 }
 
 // waitForCapacity queues a request until an upstream has capacity. It returns
-// false if the request was not queued, timed out or was canceled.
-func (f *Forwarder) waitForCapacity(ctx context.Context, req pick.Request, healthPath string) bool {
+// false if the request was not queued, timed out or was canceled. It updates the turn of
+// the request.
+func (f *Forwarder) waitForCapacity(ctx context.Context, req pick.Request, turn *pick.Turn, healthPath string) bool {
 	wake := make(chan pick.WakeReason, 1)
 	now := time.Now()
-	w := &pick.Waiter{Request: req, EnqueuedAt: now, Wake: func(v pick.WakeReason) { wake <- v }}
+	w := &pick.Waiter{Request: req, EnqueuedAt: now, Turn: *turn, Wake: func(v pick.WakeReason) { wake <- v }}
 	f.mu.Lock()
 	q := f.queueFor(req.Service)
 	q.healthPath = healthPath
@@ -51,12 +52,16 @@
 		q.isPolled = true
 		go f.pollQueue(req.Service, q)
 	}
+	if queued && q.HasTurns() {
+		q.Dispatch(now, f.fleet)
+	}
 	f.mu.Unlock()
 	if !queued {
 		return false
 	}
 	select {
 	case reason := <-wake:
+		*turn = w.Turn
 		return reason == pick.WakeForCapacity
 	case <-ctx.Done():
 		f.mu.Lock()
