Reserve the last third of the retry budget for urgent requests

Cause: retries are spent first come, first served, so while upstreams reject much of what arrives, the most urgent requests are served no better than others. Change: if requests of several priorities arrive for a service, the last third of its retry budget is for the most urgent ones that can still meet their latency target. A budget of one token has no third to leave; there, the others are limited to two thirds of the deposits. The bound on all retries is unchanged.

--- /dev/null
+++ b/core/admit/rank.go
@@ -0,0 +1,84 @@
+package admit
+
+import (
+	"cmp"
+	"maps"
+	"time"
+)
+
+// Rank orders the requests of a service. Lower values are more urgent, and the account
+// decides before the route.
+type Rank struct {
+	Account int
+	Route   int
+}
+
+// Compare returns a negative number if r is more urgent than o.
+func (r Rank) Compare(o Rank) int {
+	return cmp.Or(cmp.Compare(r.Account, o.Account), cmp.Compare(r.Route, o.Route))
+}
+
+const (
+	// rankMemory is the time since its last request for which a rank is in use.
+	rankMemory = 10 * time.Second
+	// maxRanks limits the ranks that are tracked. Requests of further ranks count as
+	// requests of no rank.
+	maxRanks = 64
+)
+
+// Ranks tracks the ranks of the requests that arrive for one service. The zero value is
+// ready for use.
+type Ranks struct {
+	arrivals map[Rank]rate
+}
+
+// Record counts a request.
+func (r *Ranks) Record(now time.Time, rank Rank) {
+	if r.arrivals == nil {
+		r.arrivals = map[Rank]rate{}
+	}
+	arrivals, ok := r.arrivals[rank]
+	if !ok {
+		maps.DeleteFunc(r.arrivals, func(_ Rank, a rate) bool { return !a.isRecent(now) })
+	}
+	if !ok && len(r.arrivals) >= maxRanks {
+		return
+	}
+	r.arrivals[rank] = arrivals.with(now)
+}
+
+// AreSeveral reports whether more than one rank is in use.
+func (r *Ranks) AreSeveral(now time.Time) bool {
+	n := 0
+	for _, a := range r.arrivals {
+		if a.isRecent(now) {
+			n++
+		}
+	}
+	return n > 1
+}
+
+// IsMostUrgent reports whether no rank in use is more urgent.
+func (r *Ranks) IsMostUrgent(now time.Time, rank Rank) bool {
+	for other, a := range r.arrivals {
+		if other.Compare(rank) < 0 && a.isRecent(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// MoreUrgentRate returns the requests a second that are more urgent than rank.
+func (r *Ranks) MoreUrgentRate(now time.Time, rank Rank) float64 {
+	sum := 0.0
+	for other, a := range r.arrivals {
+		if other.Compare(rank) < 0 {
+			sum += a.at(now)
+		}
+	}
+	return sum
+}
+
+func (r rate) isRecent(now time.Time) bool {
+	return now.Sub(r.updatedAt) < rankMemory
+}
--- a/core/pick/candidate.go
+++ b/core/pick/candidate.go
@@ -214,7 +214,7 @@
 		serviceTimeNanos: f.ServiceTimeNanos(req),
 		contention:       f.contentionOf(req.Service),
 		hasLocal:         f.hasLocalUpstream(now, req),
-		canMeetTarget:    f.canMeetTarget(now, req),
+		canMeetTarget:    f.CanMeetTarget(now, req),
 	}
 	s.hasReserve = s.canMeetTarget || f.hasReserve(now, req, s)
 	return s
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -98,7 +98,7 @@
 		}
 	}()
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
-		class := waiterClass{route: w.Request.serviceTimeKey(), canMeetTarget: f.canMeetTarget(now, w.Request)}
+		class := waiterClass{route: w.Request.serviceTimeKey(), canMeetTarget: f.CanMeetTarget(now, w.Request)}
 		if blocked[class] {
 			return false
 		}
@@ -142,9 +142,9 @@
 	return req.SoftDeadline.Add(-req.LatencyTarget)
 }
 
-// canMeetTarget reports whether a request could meet its soft deadline at an
+// CanMeetTarget reports whether a request could meet its soft deadline at an
 // upstream with a slowdown of 1.
-func (f *Fleet) canMeetTarget(now time.Time, req Request) bool {
+func (f *Fleet) CanMeetTarget(now time.Time, req Request) bool {
 	return now.Add(time.Duration(f.ServiceTimeNanos(req))).Before(req.SoftDeadline)
 }
 
--- a/core/pick/scarce_test.go
+++ b/core/pick/scarce_test.go
@@ -86,3 +86,40 @@
 	require.GreaterOrEqual(t, mean(shares[:8]), 0.9*s.total.share())
 	require.GreaterOrEqual(t, small.share(), s.total.share())
 }
+
+// rankedConfig describes requests of three priorities at a multiple of 0.65 of the capacity.
+func rankedConfig(factor func(time.Duration) float64) simConfig {
+	cfg := simConfig{seed: 1, entries: 6, upstreamCount: 24, slots: 2, length: 20 * time.Second}
+	for priority := range 3 {
+		cfg.sources = append(cfg.sources, simSource{priority: priority, rate: func(d time.Duration) float64 { return 173 * factor(d) }})
+	}
+	return cfg
+}
+
+// rejectingConfig describes upstreams that reject over half of what arrives for 8 s,
+// although their load readings say that slots are free.
+func rejectingConfig() simConfig {
+	cfg := rankedConfig(constant(1))
+	cfg.rejects = func(d time.Duration) float64 {
+		if d > 4*time.Second && d < 12*time.Second {
+			return 0.55
+		}
+		return 0
+	}
+	return cfg
+}
+
+// First come, first served, retries would serve the most urgent requests no better than
+// the others.
+func TestRejectingUpstreamsServeMostUrgentFirst(t *testing.T) {
+	for _, isToday := range []bool{true, false} {
+		cfg := rejectingConfig()
+		cfg.isToday = isToday
+		s := runSim(cfg)
+		t.Logf("today %v: all %.3f, by priority %.3f %.3f %.3f, %d retries of %d", isToday, s.total.share(), s.byRank[0].share(), s.byRank[1].share(), s.byRank[2].share(), s.retries, s.total.all)
+		if !isToday {
+			require.GreaterOrEqual(t, s.byRank[0].share(), s.byRank[1].share())
+			require.GreaterOrEqual(t, s.byRank[0].share(), s.byRank[2].share())
+		}
+	}
+}
--- a/core/pick/sim_test.go
+++ b/core/pick/sim_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"magnolialedge"
+	"magnolialedge/core/admit"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
 )
@@ -91,6 +92,7 @@
 	fleet    *pick.Fleet
 	queue    pick.Queue
 	retries  *proc.RatioBudget
+	ranks    admit.Ranks
 	isPolled bool
 }
 
@@ -176,6 +178,7 @@
 		c.all++
 	}
 	r.entry.retries.Deposit()
+	r.entry.ranks.Record(s.now, admit.Rank{Route: r.Priority})
 	r.entry.try(r)
 }
 
@@ -286,9 +289,17 @@
 		}
 		return
 	}
-	if r.sent < 3 && e.retries.Withdraw() {
+	if r.sent < 3 && e.takeRetry(r) {
 		e.sim.retries++
 		r.Tried = append(r.Tried, c.ID)
 		e.try(r)
 	}
 }
+
+func (e *simEntry) takeRetry(r *simRequest) bool {
+	isUrgent := e.ranks.IsMostUrgent(e.now, admit.Rank{Route: r.Priority}) && e.fleet.CanMeetTarget(e.now, r.Request)
+	if e.isToday || isUrgent || !e.ranks.AreSeveral(e.now) {
+		return e.retries.Withdraw()
+	}
+	return e.retries.WithdrawUnreserved()
+}
--- a/core/pick/turn.go
+++ b/core/pick/turn.go
@@ -123,7 +123,7 @@
 	ranks := make([]rank, len(waiters))
 	hasAccounts := false
 	for i, w := range waiters {
-		ranks[i] = rank{waiter: w, canMeetTarget: f.canMeetTarget(now, w.Request), arrivedAt: w.Request.arrivedAt()}
+		ranks[i] = rank{waiter: w, canMeetTarget: f.CanMeetTarget(now, w.Request), arrivedAt: w.Request.arrivedAt()}
 		hasAccounts = hasAccounts || w.Request.Account != ""
 	}
 	slices.SortStableFunc(ranks, rank.compare)
--- a/core/pick/turn_test.go
+++ b/core/pick/turn_test.go
@@ -11,7 +11,7 @@
 
 // isBeforeWithoutAccounts is the order of waiters before accounts took turns.
 func isBeforeWithoutAccounts(now time.Time, a, b *Waiter, f *Fleet) bool {
-	canMeetA, canMeetB := f.canMeetTarget(now, a.Request), f.canMeetTarget(now, b.Request)
+	canMeetA, canMeetB := f.CanMeetTarget(now, a.Request), f.CanMeetTarget(now, b.Request)
 	if canMeetA != canMeetB {
 		return canMeetA
 	}
--- a/core/proc/bucket.go
+++ b/core/proc/bucket.go
@@ -56,6 +56,8 @@
 	ratio    float64
 	tokens   float64
 	capacity float64
+	// unreserved is the number of tokens that WithdrawUnreserved may still take.
+	unreserved float64
 }
 
 // NewRatioBudget returns a RatioBudget that allows percent additional attempts
@@ -67,6 +69,7 @@
 // Deposit adds the tokens for one regular request.
 func (b *RatioBudget) Deposit() {
 	b.tokens = min(b.capacity, b.tokens+b.ratio)
+	b.unreserved = min(b.unreservedCapacity(), b.unreserved+(1-reservedShare)*b.ratio)
 }
 
 // Withdraw removes one token if one is available, and reports whether it did.
@@ -81,4 +84,5 @@
 // Refund returns the token of an attempt that Withdraw allowed and that was not made.
 func (b *RatioBudget) Refund() {
 	b.tokens = min(b.capacity, b.tokens+1)
+	b.unreserved = min(b.unreservedCapacity(), b.unreserved+1)
 }
--- a/core/proc/retry.go
+++ b/core/proc/retry.go
@@ -38,11 +38,33 @@
 // entries share the limits.
 func (l RetryLimits) NewRetryBudget(entries int) *RatioBudget {
 	capacity := l.CapacityPerEntry(entries)
-	return &RatioBudget{ratio: l.Ratio * retryRatioUsed, tokens: capacity, capacity: capacity}
+	b := &RatioBudget{ratio: l.Ratio * retryRatioUsed, tokens: capacity, capacity: capacity}
+	b.unreserved = b.unreservedCapacity()
+	return b
 }
 
 // SetCapacity sets the maximum number of tokens and discards those above it.
 func (b *RatioBudget) SetCapacity(tokens float64) {
 	b.capacity = tokens
 	b.tokens = min(b.tokens, tokens)
+	b.unreserved = min(b.unreserved, b.unreservedCapacity())
+}
+
+// reservedShare is the fraction of a retry budget, both of its capacity and of its
+// deposits, that WithdrawUnreserved leaves to others.
+const reservedShare = 1.0 / 3
+
+// WithdrawUnreserved is Withdraw for retries of less value: it leaves the last third of
+// the budget. A budget of one token has no third to leave, so that such retries are also
+// limited to two thirds of the deposits.
+func (b *RatioBudget) WithdrawUnreserved() bool {
+	if b.unreserved < 1 || b.tokens < 1+min(reservedShare*b.capacity, b.capacity-1) {
+		return false
+	}
+	b.unreserved--
+	return b.Withdraw()
+}
+
+func (b *RatioBudget) unreservedCapacity() float64 {
+	return max(1, (1-reservedShare)*b.capacity)
 }
--- a/core/proc/retry_test.go
+++ b/core/proc/retry_test.go
@@ -25,7 +25,11 @@
 			for i := range requests {
 				b := budgets[i%entries]
 				b.Deposit()
-				for failing && b.Withdraw() {
+				withdraw := b.Withdraw
+				if i%3 > 0 {
+					withdraw = b.WithdrawUnreserved
+				}
+				for failing && withdraw() {
 					retries++
 				}
 			}
@@ -46,3 +50,34 @@
 	require.True(t, b.Withdraw())
 	require.False(t, b.Withdraw())
 }
+
+// Upstreams of a service reject over half of what arrives: every request wants a retry.
+// First come, first served, the most urgent third would get a third of the retries.
+func TestLastThirdOfRetriesIsReserved(t *testing.T) {
+	for _, entries := range []int{8, 120} {
+		b := RetryLimits{Ratio: 0.2, Extra: 50}.NewRetryBudget(entries)
+		urgent, others := 0, 0
+		for i := range 30_000 {
+			b.Deposit()
+			switch {
+			case i%3 == 0 && b.Withdraw():
+				urgent++
+			case i%3 > 0 && b.WithdrawUnreserved():
+				others++
+			}
+		}
+		require.GreaterOrEqual(t, float64(urgent), float64(urgent+others)/3, "%d entries", entries)
+		require.LessOrEqual(t, float64(others), 30_000*0.2*retryRatioUsed*2/3+10, "%d entries", entries)
+	}
+}
+
+// Retries of less value must use the budget that no one else wants, but for its last third.
+func TestUnreservedRetriesLeaveThird(t *testing.T) {
+	b := RetryLimits{Ratio: 0.2, Extra: 48}.NewRetryBudget(8)
+	taken := 0
+	for b.WithdrawUnreserved() {
+		taken++
+	}
+	require.Equal(t, 4, taken)
+	require.True(t, b.Withdraw())
+}
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -156,7 +156,7 @@
 	if x.sentAttempts >= max(1, x.match.MaxAttempts) {
 		return false
 	}
-	return !r.sent || x.f.withdrawRetry(x.pickReq.Service)
+	return !r.sent || x.f.withdrawRetry(x.pickReq)
 }
 
 func (x *exchange) triedIDs() []string {
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -191,7 +191,7 @@
 		return
 	}
 	x.isCounted = true
-	x.f.depositRetry(x.pickReq.Service)
+	x.f.countRequest(x.pickReq)
 }
 
 // isUnreached reports whether the request may be handed over because this entry found no
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"magnolialedge"
+	"magnolialedge/core/admit"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
 	"magnolialedge/core/reach"
@@ -61,6 +62,7 @@
 	fleet        *pick.Fleet
 	queues       map[string]*queue
 	retryBudgets map[string]*proc.RatioBudget
+	ranks        map[string]*admit.Ranks
 	// entryCount is the number of live entries, which share the retry and probe
 	// budgets.
 	entryCount  int
@@ -94,6 +96,7 @@
 		fleet:         cfg.Fleet,
 		queues:        map[string]*queue{},
 		retryBudgets:  map[string]*proc.RatioBudget{},
+		ranks:         map[string]*admit.Ranks{},
 		probeBudget:   proc.NewProbeBudget(cfg.Probes, time.Now()),
 		quarantine:    proc.NewQuarantine(),
 		reach:         reach.NewTracker(),
@@ -231,33 +234,6 @@
 	f.probeBudget.Resize(time.Now(), f.entryCount, f.fleet.TotalUpstreams())
 }
 
-func (f *Forwarder) retryBudget(service string) *proc.RatioBudget {
-	b, ok := f.retryBudgets[service]
-	if !ok {
-		b = f.cfg.Retries.NewRetryBudget(f.entryCount)
-		f.retryBudgets[service] = b
-	}
-	return b
-}
-
-func (f *Forwarder) depositRetry(service string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.retryBudget(service).Deposit()
-}
-
-func (f *Forwarder) withdrawRetry(service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.retryBudget(service).Withdraw()
-}
-
-func (f *Forwarder) refundRetry(service string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.retryBudget(service).Refund()
-}
-
 // errorResponse returns a response that the load balancer generates itself.
 func errorResponse(kind magnolialedge.ErrorKind, retryAfter time.Duration) *front.Response {
 	spec := magnolialedge.ErrorResponseFor(kind)
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -90,7 +90,7 @@
 			return x.handedResponse(r)
 		case r.declined != "":
 			isDeclined = true
-		case !r.notRun && (ctx.Err() != nil || !x.pickReq.Idempotent || !x.f.withdrawRetry(x.pickReq.Service)):
+		case !r.notRun && (ctx.Err() != nil || !x.pickReq.Idempotent || !x.f.withdrawRetry(x.pickReq)):
 			return x.fail(ctx, magnolialedge.KindUpstreamLost)
 		}
 	}
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -71,7 +71,7 @@
 	if !ok {
 		return false
 	}
-	if !x.f.withdrawRetry(x.pickReq.Service) {
+	if !x.f.withdrawRetry(x.pickReq) {
 		x.f.endHandover(helper, x.pickReq.Service, false)
 		x.triedHelpers = x.triedHelpers[:len(x.triedHelpers)-1]
 		return false
@@ -172,7 +172,7 @@
 	if !ok || !commit {
 		return c, ok
 	}
-	if !c.IsFresh(time.Now()) || !f.retryBudget(x.pickReq.Service).Withdraw() {
+	if !c.IsFresh(time.Now()) || !f.takeRetry(time.Now(), x.pickReq) {
 		return c, false
 	}
 	f.fleet.BeginAttempt(time.Now(), c.ID)
