Refuse less urgent requests at once while capacity is short

Cause: in a wave or a burst, less urgent requests wait for a quarter of their time although more urgent ones take all capacity, and are refused then. Change: core/admit.Gate compares, for each service, what the entry has sent while requests waited with the rate of more urgent requests. A request that would not be served within the time that it may wait is refused at once. The most urgent rank is never refused by it, nor any request before a shortage has lasted for 200 ms. Services with one priority see no difference.

--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"magnolialedge/core/admit"
 	"magnolialedge/core/proc"
 )
 
@@ -59,6 +60,16 @@
 	return true
 }
 
+// AttemptOf describes a waiter that is not in the queue yet, for the decision whether it
+// is admitted.
+func (q *Queue) AttemptOf(now time.Time, w *Waiter, f *Fleet) admit.Attempt {
+	return admit.Attempt{
+		Rank:    admit.Rank{Account: w.Request.AccountPriority, Route: w.Request.Priority},
+		Ahead:   q.countAhead(now, w, f),
+		MaxWait: time.Duration(maxWaitShare * float64(w.Request.Deadline.Sub(now))),
+	}
+}
+
 // countAhead returns the number of waiters that are woken before w.
 func (q *Queue) countAhead(now time.Time, w *Waiter, f *Fleet) int {
 	ranks := q.rankAll(now, append(slices.Clone(q.waiters), w), f)
--- a/core/pick/scarce_test.go
+++ b/core/pick/scarce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -123,3 +124,38 @@
 		}
 	}
 }
+
+// wave has a period of 17 s and a swing of 0.55, and burst lasts for 5 s.
+func wave(d time.Duration) float64 { return 1.2 * (1 + 0.55*math.Sin(2*math.Pi*d.Seconds()/17)) }
+
+func burst(d time.Duration) float64 {
+	if d > 5*time.Second && d < 10*time.Second {
+		return 1.7
+	}
+	return 1
+}
+
+// While capacity is short, requests must be refused without a long wait, and no more of
+// them than without admission control.
+func TestShortCapacityServesMostUrgentFirst(t *testing.T) {
+	for name, factor := range map[string]func(time.Duration) float64{"wave": wave, "burst": burst} {
+		t.Run(name, func(t *testing.T) {
+			cfg := rankedConfig(factor)
+			s := runSim(cfg)
+			cfg.isToday = true
+			today := runSim(cfg)
+			t.Logf("by priority %.3f %.3f %.3f, all %.3f (today %.3f), %d refused after %v (today %d after %v)", s.byRank[0].share(), s.byRank[1].share(), s.byRank[2].share(), s.total.share(), today.total.share(), s.total.refused, s.total.meanWaste(), today.total.refused, today.total.meanWaste())
+			require.GreaterOrEqual(t, s.byRank[0].share(), s.byRank[1].share())
+			require.GreaterOrEqual(t, s.byRank[0].share(), s.byRank[2].share())
+			require.GreaterOrEqual(t, s.total.share(), today.total.share()-noise)
+			require.Less(t, s.total.meanWaste(), today.total.meanWaste())
+			if name == "burst" {
+				require.Less(t, s.gateRefusedAt, 11*time.Second, "a level must not outlast the burst by 1 s")
+			}
+		})
+	}
+}
+
+// noise is by how much the shares of runs with different requests differ (burst: 0.954
+// and 0.959).
+const noise = 0.005
--- a/core/pick/sim_test.go
+++ b/core/pick/sim_test.go
@@ -45,22 +45,35 @@
 }
 
 // simCount counts the requests of a kind, and those with a response in time and at all.
-type simCount struct{ all, inTime, served int }
+type simCount struct {
+	all, inTime, served, refused int
+	// wastedWait is the time that refused requests waited.
+	wastedWait time.Duration
+}
 
 func (c simCount) share() float64 { return float64(c.inTime) / float64(max(1, c.all)) }
 
+// meanWaste returns the mean time that refused requests waited.
+func (c simCount) meanWaste() time.Duration { return c.wastedWait / time.Duration(max(1, c.refused)) }
+
 // sim runs the decisions of the core at several entries on a virtual clock.
 type sim struct {
 	simConfig
-	now       time.Time
-	events    simEvents
-	rand      *rand.Rand
-	entries   []*simEntry
-	upstreams map[string]*simUpstream
-	byAccount map[string]*simCount
-	byRank    map[int]*simCount
-	total     simCount
-	retries   int
+	now    time.Time
+	events simEvents
+	seq    int
+	// rand draws the requests and rejections the rejections, so that runs of one seed
+	// have the same requests.
+	rand       *rand.Rand
+	rejections *rand.Rand
+	entries    []*simEntry
+	upstreams  map[string]*simUpstream
+	byAccount  map[string]*simCount
+	byRank     map[int]*simCount
+	total      simCount
+	retries    int
+	// gateRefusedAt is the time of the last request that a gate refused.
+	gateRefusedAt time.Duration
 }
 
 type simEvent struct {
@@ -84,7 +97,8 @@
 }
 
 func (s *sim) after(d time.Duration, run func()) {
-	heap.Push(&s.events, simEvent{at: s.now.Add(d), seq: len(s.events) + int(s.rand.Uint32()>>8), run: run})
+	s.seq++
+	heap.Push(&s.events, simEvent{at: s.now.Add(d), seq: s.seq, run: run})
 }
 
 type simEntry struct {
@@ -92,7 +106,7 @@
 	fleet    *pick.Fleet
 	queue    pick.Queue
 	retries  *proc.RatioBudget
-	ranks    admit.Ranks
+	gate     admit.Gate
 	isPolled bool
 }
 
@@ -114,7 +128,7 @@
 
 // runSim returns the counts of a run.
 func runSim(cfg simConfig) *sim {
-	s := &sim{simConfig: cfg, now: simStart, rand: rand.New(rand.NewPCG(cfg.seed, 7)), upstreams: map[string]*simUpstream{}, byAccount: map[string]*simCount{}, byRank: map[int]*simCount{}}
+	s := &sim{simConfig: cfg, now: simStart, rand: rand.New(rand.NewPCG(cfg.seed, 7)), rejections: rand.New(rand.NewPCG(cfg.seed, 8)), upstreams: map[string]*simUpstream{}, byAccount: map[string]*simCount{}, byRank: map[int]*simCount{}}
 	for i := range cfg.upstreamCount {
 		s.upstreams[fmt.Sprint("u", i)] = &simUpstream{}
 	}
@@ -178,7 +192,7 @@
 		c.all++
 	}
 	r.entry.retries.Deposit()
-	r.entry.ranks.Record(s.now, admit.Rank{Route: r.Priority})
+	r.entry.gate.Record(s.now, admit.Rank{Route: r.Priority})
 	r.entry.try(r)
 }
 
@@ -193,6 +207,7 @@
 		return
 	}
 	e.fleet.BeginAttempt(e.now, found[0].ID)
+	e.gate.RecordStart(e.now)
 	e.queue.TakeTurn(e.fleet, r.Request, &r.turn)
 	r.turn = pick.Turn{}
 	r.sent++
@@ -215,13 +230,25 @@
 	w := &pick.Waiter{Request: r.Request, EnqueuedAt: e.now, Turn: r.turn}
 	w.Wake = func(reason pick.WakeReason) {
 		r.turn = w.Turn
-		if reason == pick.WakeForCapacity {
-			e.after(0, func() { e.try(r) })
+		if reason == pick.WakeTimedOut {
+			r.refuse()
+			return
 		}
+		e.after(0, func() { e.try(r) })
+	}
+	if !e.isToday && !e.gate.Admits(e.now, e.queue.AttemptOf(e.now, w, e.fleet)) {
+		e.gateRefusedAt = e.now.Sub(simStart)
+		r.refuse()
+		return
 	}
-	if e.queue.Push(e.now, w, e.fleet) && e.queue.HasTurns() {
+	if !e.queue.Push(e.now, w, e.fleet) {
+		r.refuse()
+		return
+	}
+	if e.queue.HasTurns() {
 		e.queue.Dispatch(e.now, e.fleet)
 	}
+	e.gate.RecordWaiting(e.now, e.queue.Len())
 	e.poll()
 }
 
@@ -236,11 +263,24 @@
 		for _, u := range e.fleet.StaleUpstreams(e.now, "s", 3) {
 			e.readLoad(u.ID)
 		}
-		e.queue.Dispatch(e.now, e.fleet)
+		e.dispatch()
 		e.poll()
 	})
 }
 
+func (e *simEntry) dispatch() {
+	e.queue.Dispatch(e.now, e.fleet)
+	e.gate.RecordWaiting(e.now, e.queue.Len())
+}
+
+// refuse records the time that the request waited in vain.
+func (r *simRequest) refuse() {
+	for _, c := range r.counts {
+		c.refused++
+		c.wastedWait += r.entry.now.Sub(r.arrivedAt)
+	}
+}
+
 func (e *simEntry) readLoad(id string) {
 	u := e.upstreams[id]
 	e.fleet.RecordLoad(e.now, id, magnolialedge.LoadReading{Running: u.running, Waiting: len(u.waiting), Slots: e.slots, Slowdown: 1})
@@ -249,7 +289,7 @@
 // reach begins a request at an upstream, which rejects it if it is full.
 func (e *simEntry) reach(r *simRequest, c pick.Candidate) {
 	u := e.upstreams[c.ID]
-	isRejected := e.rejects != nil && e.rand.Float64() < e.rejects(e.now.Sub(simStart))
+	isRejected := e.rejects != nil && e.rejections.Float64() < e.rejects(e.now.Sub(simStart))
 	switch {
 	case isRejected || len(u.waiting) >= e.slots:
 		e.after(500*time.Microsecond, func() { e.end(r, c, time.Millisecond, pick.AttemptRefused) })
@@ -279,7 +319,7 @@
 func (e *simEntry) end(r *simRequest, c pick.Candidate, took time.Duration, status pick.AttemptStatus) {
 	e.fleet.EndAttempt(e.now, pick.AttemptResult{UpstreamID: c.ID, Request: r.Request, Duration: took, Slowdown: c.Slowdown, TookLastSlot: c.TakesLastSlot, Status: status})
 	e.readLoad(c.ID)
-	e.queue.Dispatch(e.now, e.fleet)
+	e.dispatch()
 	if status == pick.AttemptSucceeded {
 		for _, n := range r.counts {
 			n.served++
@@ -293,12 +333,14 @@
 		e.sim.retries++
 		r.Tried = append(r.Tried, c.ID)
 		e.try(r)
+		return
 	}
+	r.refuse()
 }
 
 func (e *simEntry) takeRetry(r *simRequest) bool {
-	isUrgent := e.ranks.IsMostUrgent(e.now, admit.Rank{Route: r.Priority}) && e.fleet.CanMeetTarget(e.now, r.Request)
-	if e.isToday || isUrgent || !e.ranks.AreSeveral(e.now) {
+	isUrgent := e.gate.IsMostUrgent(e.now, admit.Rank{Route: r.Priority}) && e.fleet.CanMeetTarget(e.now, r.Request)
+	if e.isToday || isUrgent || !e.gate.AreSeveral(e.now) {
 		return e.retries.Withdraw()
 	}
 	return e.retries.WithdrawUnreserved()
--- /dev/null
+++ b/io/serve/admit.go
@@ -0,0 +1,69 @@
+package serve
+
+import (
+	"time"
+
+	"magnolialedge/core/admit"
+	"magnolialedge/core/pick"
+	"magnolialedge/io/event"
+)
+
+// gate decides which requests of a service are refused while its capacity is short.
+// loggedLevel is the last level that was logged.
+type gate struct {
+	admit.Gate
+	loggedLevel admit.Level
+}
+
+// gateOf returns the gate of a service. The caller holds f.mu.
+func (f *Forwarder) gateOf(service string) *gate {
+	g, ok := f.gates[service]
+	if !ok {
+		g = &gate{}
+		f.gates[service] = g
+	}
+	return g
+}
+
+func rankOf(req pick.Request) admit.Rank {
+	return admit.Rank{Account: req.AccountPriority, Route: req.Priority}
+}
+
+// admits reports whether a waiter may enter the queue. The caller holds f.mu.
+func (f *Forwarder) admits(now time.Time, q *queue, w *pick.Waiter) bool {
+	g := f.gateOf(w.Request.Service)
+	if !g.MayRefuse(now, rankOf(w.Request)) {
+		return true
+	}
+	ok := g.Admits(now, q.AttemptOf(now, w, f.fleet))
+	f.logLevel(now, w.Request.Service)
+	return ok
+}
+
+// recordStart counts a request that is sent to an upstream. The caller holds f.mu.
+func (f *Forwarder) recordStart(now time.Time, service string) {
+	f.gateOf(service).RecordStart(now)
+	f.logLevel(now, service)
+}
+
+// recordWaiting updates the gate of a service with the length of its queue. The caller
+// holds f.mu.
+func (f *Forwarder) recordWaiting(now time.Time, service string, q *queue) {
+	f.gateOf(service).RecordWaiting(now, q.Len())
+	f.logLevel(now, service)
+}
+
+// logLevel logs a change of what the gate of a service refuses. The caller holds f.mu.
+func (f *Forwarder) logLevel(now time.Time, service string) {
+	g := f.gateOf(service)
+	level := g.Level(now)
+	if level.IsRefusing == g.loggedLevel.IsRefusing && level.Rank == g.loggedLevel.Rank {
+		return
+	}
+	g.loggedLevel = level
+	if !level.IsRefusing {
+		f.cfg.Log.Log(event.AdmissionEnded, "service", service)
+		return
+	}
+	f.cfg.Log.Log(event.AdmissionLevel, "service", service, "accountPriority", level.Rank.Account, "priority", level.Rank.Route, "capacityPerS", int(level.Capacity), "moreUrgentPerS", int(level.MoreUrgent))
+}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -289,6 +289,7 @@
 		return nil, candidates
 	}
 	x.f.fleet.BeginAttempt(now, candidates[0].ID)
+	x.f.recordStart(now, x.pickReq.Service)
 	x.f.queueFor(x.pickReq.Service).TakeTurn(x.f.fleet, x.pickReq, &x.turn)
 	x.turn = pick.Turn{}
 	return &candidates[0], nil
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"magnolialedge"
-	"magnolialedge/core/admit"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
 	"magnolialedge/core/reach"
@@ -62,7 +61,7 @@
 	fleet        *pick.Fleet
 	queues       map[string]*queue
 	retryBudgets map[string]*proc.RatioBudget
-	ranks        map[string]*admit.Ranks
+	gates        map[string]*gate
 	// entryCount is the number of live entries, which share the retry and probe
 	// budgets.
 	entryCount  int
@@ -96,7 +95,7 @@
 		fleet:         cfg.Fleet,
 		queues:        map[string]*queue{},
 		retryBudgets:  map[string]*proc.RatioBudget{},
-		ranks:         map[string]*admit.Ranks{},
+		gates:         map[string]*gate{},
 		probeBudget:   proc.NewProbeBudget(cfg.Probes, time.Now()),
 		quarantine:    proc.NewQuarantine(),
 		reach:         reach.NewTracker(),
--- a/io/serve/queue.go
+++ b/io/serve/queue.go
@@ -33,12 +33,14 @@
 // holds f.mu.
 func (f *Forwarder) dispatchQueue(service string) {
 	if q, ok := f.queues[service]; ok && q.Len() > 0 {
-		q.Dispatch(time.Now(), f.fleet)
+		now := time.Now()
+		q.Dispatch(now, f.fleet)
+		f.recordWaiting(now, service, q)
 	}
 }
 
 // waitForCapacity queues a request until an upstream has capacity. It returns
-// false if the request was not queued, timed out or was canceled. It updates the turn of
+// false if the request was not admitted, timed out or was canceled. It updates the turn of
 // the request.
 func (f *Forwarder) waitForCapacity(ctx context.Context, req pick.Request, turn *pick.Turn, healthPath string) bool {
 	wake := make(chan pick.WakeReason, 1)
@@ -47,7 +49,7 @@
 	f.mu.Lock()
 	q := f.queueFor(req.Service)
 	q.healthPath = healthPath
-	queued := q.Push(now, w, f.fleet)
+	queued := f.admits(now, q, w) && q.Push(now, w, f.fleet)
 	if queued && !q.isPolled {
 		q.isPolled = true
 		go f.pollQueue(req.Service, q)
@@ -55,6 +57,7 @@
 	if queued && q.HasTurns() {
 		q.Dispatch(now, f.fleet)
 	}
+	f.recordWaiting(now, req.Service, q)
 	f.mu.Unlock()
 	if !queued {
 		return false
@@ -67,6 +70,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		q.Remove(w)
+		f.recordWaiting(time.Now(), req.Service, q)
 		return false
 	}
 }
@@ -80,6 +84,7 @@
 		f.mu.Lock()
 		if q.Len() == 0 {
 			q.isPolled = false
+			f.recordWaiting(time.Now(), service, q)
 			f.mu.Unlock()
 			return
 		}
@@ -90,7 +95,7 @@
 			f.startProbe(r, 0, healthPath)
 		}
 		f.mu.Lock()
-		q.Dispatch(time.Now(), f.fleet)
+		f.dispatchQueue(service)
 		f.mu.Unlock()
 	}
 }
--- a/io/serve/retry.go
+++ b/io/serve/retry.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"magnolialedge/core/admit"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
 )
@@ -17,26 +16,12 @@
 	return b
 }
 
-// ranksOf returns the ranks of the requests of a service. The caller holds f.mu.
-func (f *Forwarder) ranksOf(service string) *admit.Ranks {
-	r, ok := f.ranks[service]
-	if !ok {
-		r = &admit.Ranks{}
-		f.ranks[service] = r
-	}
-	return r
-}
-
-func rankOf(req pick.Request) admit.Rank {
-	return admit.Rank{Account: req.AccountPriority, Route: req.Priority}
-}
-
 // countRequest counts a request of a caller towards the retry budget of its service.
 func (f *Forwarder) countRequest(req pick.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.retryBudget(req.Service).Deposit()
-	f.ranksOf(req.Service).Record(time.Now(), rankOf(req))
+	f.gateOf(req.Service).Record(time.Now(), rankOf(req))
 }
 
 func (f *Forwarder) withdrawRetry(req pick.Request) bool {
@@ -49,8 +34,8 @@
 // service, the last third of the budget is for the most urgent ones that can still meet
 // their latency target. The caller holds f.mu.
 func (f *Forwarder) takeRetry(now time.Time, req pick.Request) bool {
-	budget, ranks := f.retryBudget(req.Service), f.ranksOf(req.Service)
-	if !ranks.AreSeveral(now) || (ranks.IsMostUrgent(now, rankOf(req)) && f.fleet.CanMeetTarget(now, req)) {
+	budget, gate := f.retryBudget(req.Service), f.gateOf(req.Service)
+	if !gate.AreSeveral(now) || (gate.IsMostUrgent(now, rankOf(req)) && f.fleet.CanMeetTarget(now, req)) {
 		return budget.Withdraw()
 	}
 	return budget.WithdrawUnreserved()
