Spread the times at which refused callers are told to come back

Cause: Retry-After is computed for each refused request alone, so the callers that a shortage refuses at one moment come back at one moment. Change: core/admit.Returns counts how many requests were told to come back in each 50 ms of the next 2 s, and tells a request the first time at which it can be served after those that are as urgent or more urgent. Within the 50 ms, the time is random with a seed. The limits of 50 ms and 2 s and the value for upstreams that are all paused stay. No response is delayed.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -105,3 +105,10 @@
 	}
 	return g.level
 }
+
+// ReturnRate returns the requests a second of a rank for which there is expected to be
+// capacity when they come back.
+func (g *Gate) ReturnRate(now time.Time, rank Rank) float64 {
+	capacity := g.capacity(now)
+	return max(capacity-g.MoreUrgentRate(now, rank), minLeftShare*capacity)
+}
--- a/io/serve/admit.go
+++ b/io/serve/admit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"magnolialedge/core/admit"
 	"magnolialedge/core/pick"
 	"magnolialedge/io/event"
@@ -12,6 +14,7 @@
 // loggedLevel is the last level that was logged.
 type gate struct {
 	admit.Gate
+	returns     *admit.Returns
 	loggedLevel admit.Level
 }
 
@@ -19,7 +22,7 @@
 func (f *Forwarder) gateOf(service string) *gate {
 	g, ok := f.gates[service]
 	if !ok {
-		g = &gate{}
+		g = &gate{returns: admit.NewReturns(xxhash.Sum64String(f.cfg.Name + "\x00" + service))}
 		f.gates[service] = g
 	}
 	return g
@@ -67,3 +70,10 @@
 	}
 	f.cfg.Log.Log(event.AdmissionLevel, "service", service, "accountPriority", level.Rank.Account, "priority", level.Rank.Route, "capacityPerS", int(level.Capacity), "moreUrgentPerS", int(level.MoreUrgent))
 }
+
+// planReturn returns the time after which the caller of a refused request is told to come
+// back. The caller holds f.mu.
+func (f *Forwarder) planReturn(now time.Time, req pick.Request, waiting int) time.Duration {
+	g, rank := f.gateOf(req.Service), rankOf(req)
+	return g.returns.Plan(now, rank, f.fleet.RetryAfter(now, req, waiting), g.ReturnRate(now, rank))
+}
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -40,7 +40,7 @@
 	now := time.Now()
 	x.queued = f.queueFor(x.pickReq.Service).Len()
 	shortage := f.fleet.ShortageFor(now, x.pickReq, x.queued)
-	retryAfter := f.fleet.RetryAfter(now, x.pickReq, x.queued)
+	retryAfter := f.planReturn(now, x.pickReq, x.queued)
 	f.mu.Unlock()
 	x.shortage = &shortage
 	return x.reject(kind, retryAfter)
