Take load readings at the start of an entry

Cause: when all entries start together, callers return at once, and the first requests go by no load reading at all. Change: for 200 ms after the first routes, an entry probes the upstreams that it will use, its own zone first and services in turns, within its probe budget.

--- a/core/proc/probebudget.go
+++ b/core/proc/probebudget.go
@@ -1,6 +1,9 @@
 package proc
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // ProbeLimits limits the load probes that all entries together send to
 // upstreams.
@@ -46,3 +49,12 @@
 func (b *ProbeBudget) Spend(now time.Time) bool {
 	return b.limits.PerUpstreamPerSecond <= 0 || b.bucket.Take(now, 1)
 }
+
+// Available returns the number of probes that the budget allows now.
+func (b *ProbeBudget) Available(now time.Time) int {
+	if b.limits.PerUpstreamPerSecond <= 0 {
+		return math.MaxInt
+	}
+	b.bucket.refill(now)
+	return int(b.bucket.tokens)
+}
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -116,7 +116,7 @@
 	if f.routes != nil && r.Version <= f.routes.Config().Version {
 		return false
 	}
-	f.routes = route.NewTable(r, f.routes)
+	f.setRoutes(r)
 	return true
 }
 
