Let requests wait only for their target after a common start

Cause: after an outage of all entries, callers return together, and requests that have waited in vain for their latency target are served late, although they could come back and be served in time. The start of a single entry changes nothing.

--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -42,6 +42,9 @@
 type Queue struct {
 	waiters []*Waiter
 	turns   map[turnClass]*turns
+	// strictUntil is the time until which only requests wait that can meet their latency
+	// target.
+	strictUntil time.Time
 }
 
 // Len returns the number of waiting requests.
@@ -53,7 +56,8 @@
 // before its deadline.
 func (q *Queue) Push(now time.Time, w *Waiter, f *Fleet) bool {
 	wait, serviceTime := f.expectedWait(now, w.Request, q.countAhead(now, w, f))
-	if !now.Add(wait + serviceTime).Before(w.Request.Deadline) {
+	end := now.Add(wait + serviceTime)
+	if !end.Before(w.Request.Deadline) || (q.isStrict(now, w.Request, f) && end.After(w.Request.SoftDeadline)) {
 		return false
 	}
 	q.waiters = append(q.waiters, w)
@@ -76,6 +80,20 @@
 	return slices.IndexFunc(ranks, func(r rank) bool { return r.waiter == w })
 }
 
+// SetStrictUntil lets only requests wait, until the given time, that can meet their latency
+// target. When all entries start together, their callers return at once; served in the
+// usual order, many requests would be served late that can be served in time when they
+// come back.
+func (q *Queue) SetStrictUntil(until time.Time) {
+	q.strictUntil = until
+}
+
+// isStrict reports whether the request waits only while it can meet its latency target. One
+// that cannot meet it even without a wait is exempt.
+func (q *Queue) isStrict(now time.Time, req Request, f *Fleet) bool {
+	return now.Before(q.strictUntil) && req.LatencyTarget > 0 && !isTooSlowForTarget(req, f.ServiceTimeNanos(req))
+}
+
 // Remove removes a waiter and reports whether it was in the queue.
 func (q *Queue) Remove(w *Waiter) bool {
 	i := slices.Index(q.waiters, w)
@@ -141,7 +159,8 @@
 		total := w.Request.Deadline.Sub(w.EnqueuedAt)
 		spent := now.Sub(w.EnqueuedAt)
 		tooLate := now.Add(time.Duration(f.ServiceTimeNanos(w.Request))).After(w.Request.Deadline)
-		if !tooLate && float64(spent) < maxWaitShare*float64(total) {
+		isMissed := q.isStrict(now, w.Request, f) && !f.CanMeetTarget(now, w.Request)
+		if !tooLate && !isMissed && float64(spent) < maxWaitShare*float64(total) {
 			return false
 		}
 		w.Wake(WakeTimedOut)
--- a/core/pick/queue_test.go
+++ b/core/pick/queue_test.go
@@ -102,3 +102,19 @@
 	require.False(t, q.push(at(0), f, "x", testRequest(at(0))))
 	require.Equal(t, maxRetryAfter, f.RetryAfter(at(0), Request{Deadline: at(60_000)}, 0))
 }
+
+// After a start of all entries, requests that waited in vain for their latency target
+// would be served late although they could come back and be served in time.
+func TestStrictQueueRefusesWhatMissesItsTarget(t *testing.T) {
+	f := newFullFleet(1)
+	q := &recordingQueue{woken: map[string]WakeReason{}}
+	q.SetStrictUntil(at(1000))
+	untargeted := testRequest(at(0))
+	untargeted.LatencyTarget, untargeted.SoftDeadline = 0, at(0)
+	require.True(t, q.push(at(0), f, "first", testRequest(at(0))))
+	require.True(t, q.push(at(0), f, "untargeted", untargeted))
+	require.False(t, q.push(at(0), f, "late", testRequest(at(-150))), "its target would be missed after the wait")
+	q.Dispatch(at(180), f)
+	require.Equal(t, map[string]WakeReason{"first": WakeTimedOut}, q.woken)
+	require.True(t, q.push(at(1000), f, "late", testRequest(at(850))), "the start is over")
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -68,6 +68,9 @@
 	isLeaving    atomic.Bool
 	// isListed is set once the store lists this entry.
 	isListed atomic.Bool
+	// hasCommonStart is set once this entry knows that most entries started together with
+	// it. Only applyChanges uses it.
+	hasCommonStart bool
 
 	listeners []net.Listener
 	// acceptEnded is closed when no further caller connection is accepted and all
--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"magnolialedge"
+	"magnolialedge/core/proc"
 	"magnolialedge/io/event"
 )
 
@@ -31,6 +33,27 @@
 		n.forwarder.SetEntryCount(after)
 		n.forwarder.SetTransferCosts(n.transferCosts())
 	}
+	n.detectCommonStart(time.Now())
+}
+
+// commonStartTime is the time after the start of most entries during which requests only
+// wait for their latency target. In an outage of all entries for 1.6 s, requests were
+// served late for up to ten seconds afterwards.
+const commonStartTime = 10 * time.Second
+
+// detectCommonStart prepares for callers that return at once if most entries have started
+// together.
+func (n *Node) detectCommonStart(now time.Time) {
+	until := n.start.Add(commonStartTime)
+	if n.hasCommonStart || now.After(until) {
+		return
+	}
+	entries := n.members.list()
+	n.hasCommonStart = proc.StartedTogether(n.self(), entries)
+	if n.hasCommonStart {
+		n.forwarder.SetStrictUntil(until)
+		n.log.Log(event.StartedTogether, "entries", len(entries), "untilMs", until.Sub(now).Milliseconds())
+	}
 }
 
 // generation returns the order of an item's value among all values of its key.
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -62,6 +62,9 @@
 	queues       map[string]*queue
 	retryBudgets map[string]*proc.RatioBudget
 	gates        map[string]*gate
+	// strictUntil is the time until which only requests wait that can meet their latency
+	// target.
+	strictUntil time.Time
 	// entryCount is the number of live entries, which share the retry and probe
 	// budgets.
 	entryCount  int
--- a/io/serve/queue.go
+++ b/io/serve/queue.go
@@ -24,6 +24,7 @@
 	q, ok := f.queues[service]
 	if !ok {
 		q = &queue{}
+		q.SetStrictUntil(f.strictUntil)
 		f.queues[service] = q
 	}
 	return q
@@ -102,3 +103,14 @@
 
 // maxPolledUpstreams limits the upstreams that one poll probes.
 const maxPolledUpstreams = 3
+
+// SetStrictUntil lets only requests wait, until the given time, that can meet their latency
+// target.
+func (f *Forwarder) SetStrictUntil(until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.strictUntil = until
+	for _, q := range f.queues {
+		q.SetStrictUntil(until)
+	}
+}
