Explain refusals by priority and describe scarce capacity

Cause: an operator cannot tell from a refused request that it was refused because of its priority, nor what an entry refuses now. Change: the line of a request and explain name it, the dump and a gauge show the levels. A test prints the shares beside those of an all-knowing picker.

--- a/cmd/magnolialedge/explain.go
+++ b/cmd/magnolialedge/explain.go
@@ -125,6 +125,9 @@
 	}
 	text := fmt.Sprintf("rejected with %s usable upstreams, %s free slots, %s upstreams whose limit left nothing and %s queued requests; expected a wait of %s ms and %s ms of service; the readings were %s ms old on average",
 		fields["usable"], fields["freeSlots"], cmp.Or(fields["limited"], "0"), fields["queued"], fields["expectedWaitMs"], fields["serviceMs"], fields["readingAgeMs"])
+	if fields["notAdmitted"] == "true" {
+		text += "; not admitted to the queue, because more urgent requests took all capacity"
+	}
 	if fields["unreachable"] == "" {
 		return text
 	}
--- a/cmd/magnolialedge/explain_test.go
+++ b/cmd/magnolialedge/explain_test.go
@@ -30,9 +30,10 @@
 	require.Contains(t, requestReport("r1", lines), "rejected with 12 usable upstreams, 0 free slots, 3 upstreams whose limit left nothing and 4 queued requests; expected a wait of 90 ms")
 }
 
-func TestReportOfRejectionTellsHowTheEntryReachedTheUpstreams(t *testing.T) {
+func TestReportOfRejectionTellsItsCause(t *testing.T) {
 	for line, want := range map[string]string{
 		"unreachable=12 contactAgeMs=4003": "12 upstreams did not respond to this entry, and one of them had last responded 4003 ms before",
+		"notAdmitted=true":                 "not admitted to the queue, because more urgent requests took all capacity",
 		"unreachable=2 contactAgeMs=-1":    "2 upstreams did not respond to this entry, and no upstream of the service had ever responded",
 	} {
 		lines, err := parseLog(strings.NewReader("event=3101 requestId=r1 result=noUpstream usable=0 " + line + "\n"))
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -30,12 +30,12 @@
 // Level describes what a Gate refuses.
 type Level struct {
 	// IsRefusing is set while requests are refused. Rank is the most urgent one that is.
-	IsRefusing bool
-	Rank       Rank
+	IsRefusing bool `json:"isRefusing"`
+	Rank       Rank `json:"rank"`
 	// Capacity is the number of requests that can be sent a second, and MoreUrgent that
 	// of the arriving requests that are more urgent than Rank.
-	Capacity   float64
-	MoreUrgent float64
+	Capacity   float64 `json:"capacityPerS"`
+	MoreUrgent float64 `json:"moreUrgentPerS"`
 }
 
 // Attempt describes a request for which no upstream has a free slot.
--- a/core/admit/rank.go
+++ b/core/admit/rank.go
@@ -2,15 +2,15 @@
 
 import (
 	"cmp"
-	"maps"
+	"slices"
 	"time"
 )
 
 // Rank orders the requests of a service. Lower values are more urgent, and the account
 // decides before the route.
 type Rank struct {
-	Account int
-	Route   int
+	Account int `json:"accountPriority"`
+	Route   int `json:"priority"`
 }
 
 // Compare returns a negative number if r is more urgent than o.
@@ -29,22 +29,32 @@
 // Ranks tracks the ranks of the requests that arrive for one service. The zero value is
 // ready for use.
 type Ranks struct {
-	arrivals map[Rank]rate
+	// arrivals is ordered by rank, so that sums do not depend on the order of a map.
+	arrivals []rankRate
+}
+
+// rankRate is the rate of the requests of a rank.
+type rankRate struct {
+	Rank
+	rate
+}
+
+func (a rankRate) compareRank(rank Rank) int {
+	return a.Compare(rank)
 }
 
 // Record counts a request.
 func (r *Ranks) Record(now time.Time, rank Rank) {
-	if r.arrivals == nil {
-		r.arrivals = map[Rank]rate{}
-	}
-	arrivals, ok := r.arrivals[rank]
+	i, ok := slices.BinarySearchFunc(r.arrivals, rank, rankRate.compareRank)
 	if !ok {
-		maps.DeleteFunc(r.arrivals, func(_ Rank, a rate) bool { return !a.isRecent(now) })
-	}
-	if !ok && len(r.arrivals) >= maxRanks {
-		return
+		r.arrivals = slices.DeleteFunc(r.arrivals, func(a rankRate) bool { return !a.isRecent(now) })
+		if len(r.arrivals) >= maxRanks {
+			return
+		}
+		i, _ = slices.BinarySearchFunc(r.arrivals, rank, rankRate.compareRank)
+		r.arrivals = slices.Insert(r.arrivals, i, rankRate{Rank: rank})
 	}
-	r.arrivals[rank] = arrivals.with(now)
+	r.arrivals[i].rate = r.arrivals[i].with(now)
 }
 
 // AreSeveral reports whether more than one rank is in use.
@@ -60,19 +70,14 @@
 
 // IsMostUrgent reports whether no rank in use is more urgent.
 func (r *Ranks) IsMostUrgent(now time.Time, rank Rank) bool {
-	for other, a := range r.arrivals {
-		if other.Compare(rank) < 0 && a.isRecent(now) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(r.arrivals, func(a rankRate) bool { return a.Compare(rank) < 0 && a.isRecent(now) })
 }
 
 // MoreUrgentRate returns the requests a second that are more urgent than rank.
 func (r *Ranks) MoreUrgentRate(now time.Time, rank Rank) float64 {
 	sum := 0.0
-	for other, a := range r.arrivals {
-		if other.Compare(rank) < 0 {
+	for _, a := range r.arrivals {
+		if a.Compare(rank) < 0 {
 			sum += a.at(now)
 		}
 	}
--- a/core/pick/scarce_test.go
+++ b/core/pick/scarce_test.go
@@ -159,3 +159,38 @@
 // noise is by how much the shares of runs with different requests differ (burst: 0.954
 // and 0.959).
 const noise = 0.005
+
+// Prints the shares of requests in time beside those of an all-knowing picker and of
+// earlier releases. No kind of load may be served worse than by them.
+func TestScarceCapacityIsServedNoWorse(t *testing.T) {
+	for _, load := range []struct {
+		name string
+		simConfig
+	}{
+		{"wave of 1.55", rankedConfig(wave)},
+		{"burst of 1.7", rankedConfig(burst)},
+		{"hot account", hotAccountConfig()},
+		{"upstreams reject 0.55", rejectingConfig()},
+	} {
+		cfg := load.simConfig
+		now := runSim(cfg)
+		cfg.isToday = true
+		today := runSim(cfg)
+		cfg.hasOracle = true
+		known := runSim(cfg)
+		for _, run := range []struct {
+			picker string
+			*sim
+		}{{"all-knowing", known}, {"earlier", today}, {"now", now}} {
+			t.Logf("%-20s %-11s all %.3f, most urgent %.3f, least tenth of accounts %.3f", load.name, run.picker, run.total.share(), run.byRank[0].share(), leastTenth(run.sim))
+		}
+		require.GreaterOrEqual(t, now.total.share(), today.total.share()-noise, load.name)
+		require.GreaterOrEqual(t, now.byRank[0].share(), today.byRank[0].share()-noise, load.name)
+	}
+}
+
+// leastTenth returns the mean share of the least-served tenth of the accounts.
+func leastTenth(s *sim) float64 {
+	shares := accountShares(s, "")
+	return mean(shares[:(len(shares)+9)/10])
+}
--- a/core/pick/sim_test.go
+++ b/core/pick/sim_test.go
@@ -42,6 +42,8 @@
 	rejects func(time.Duration) float64
 	// isToday leaves out what this part adds: accounts and priorities of retries.
 	isToday bool
+	// hasOracle lets an all-knowing picker serve the requests.
+	hasOracle bool
 }
 
 // simCount counts the requests of a kind, and those with a response in time and at all.
@@ -68,6 +70,7 @@
 	rejections *rand.Rand
 	entries    []*simEntry
 	upstreams  map[string]*simUpstream
+	oracle     *oracle
 	byAccount  map[string]*simCount
 	byRank     map[int]*simCount
 	total      simCount
@@ -132,6 +135,7 @@
 	for i := range cfg.upstreamCount {
 		s.upstreams[fmt.Sprint("u", i)] = &simUpstream{}
 	}
+	s.oracle = &oracle{sim: s, free: cfg.upstreamCount * cfg.slots}
 	limits := proc.RetryLimits{Ratio: 0.2, Extra: 50}
 	for i := range cfg.entries {
 		e := &simEntry{sim: s, fleet: pick.NewFleet(pick.Config{Zone: "a", Seed: cfg.seed + uint64(i)}), retries: limits.NewRetryBudget(cfg.entries)}
@@ -191,6 +195,10 @@
 	for _, c := range r.counts {
 		c.all++
 	}
+	if s.hasOracle {
+		s.oracle.arrive(r)
+		return
+	}
 	r.entry.retries.Deposit()
 	r.entry.gate.Record(s.now, admit.Rank{Route: r.Priority})
 	r.entry.try(r)
@@ -273,6 +281,15 @@
 	e.gate.RecordWaiting(e.now, e.queue.Len())
 }
 
+func (r *simRequest) recordServed() {
+	for _, c := range r.counts {
+		c.served++
+		if !r.entry.now.After(r.SoftDeadline) {
+			c.inTime++
+		}
+	}
+}
+
 // refuse records the time that the request waited in vain.
 func (r *simRequest) refuse() {
 	for _, c := range r.counts {
@@ -321,12 +338,7 @@
 	e.readLoad(c.ID)
 	e.dispatch()
 	if status == pick.AttemptSucceeded {
-		for _, n := range r.counts {
-			n.served++
-			if !e.now.After(r.SoftDeadline) {
-				n.inTime++
-			}
-		}
+		r.recordServed()
 		return
 	}
 	if r.sent < 3 && e.takeRetry(r) {
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -83,7 +83,9 @@
 	Leaving  bool   `json:"leaving"`
 	// Isolated is set while the entry reaches no upstream.
 	Isolated bool `json:"isolated"`
-	Members  any  `json:"members"`
+	// Admission holds what is refused because of its priority, by service.
+	Admission any `json:"admission"`
+	Members   any `json:"members"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -92,14 +94,15 @@
 	e.GET(metricsPath, echo.WrapHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	e.GET(dumpPath, func(c echo.Context) error {
 		return c.JSON(http.StatusOK, dump{
-			Name:     n.settings.Name,
-			Version:  n.forwarder.Version(),
-			Revision: n.follower.Revision(),
-			AgeMs:    n.follower.Staleness(time.Now()).Milliseconds(),
-			InFlight: n.inFlight(),
-			Leaving:  n.isLeaving.Load(),
-			Isolated: n.forwarder.IsIsolated(),
-			Members:  n.members.list(),
+			Name:      n.settings.Name,
+			Version:   n.forwarder.Version(),
+			Revision:  n.follower.Revision(),
+			AgeMs:     n.follower.Staleness(time.Now()).Milliseconds(),
+			InFlight:  n.inFlight(),
+			Leaving:   n.isLeaving.Load(),
+			Isolated:  n.forwarder.IsIsolated(),
+			Admission: n.forwarder.AdmissionLevels(),
+			Members:   n.members.list(),
 		})
 	})
 	return e
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -18,6 +18,7 @@
 		{"store_era", "Number of times that the store was restored, as far as the entry knows.", func() float64 { return float64(n.follower.Era()) }},
 		{"upstream_limits", "Upstreams that announce a limit on the requests from all entries.", func() float64 { return float64(n.forwarder.LimitedUpstreams()) }},
 		{"upstreams_unreachable", "Upstreams that did not respond to this entry when it last tried them.", func() float64 { return float64(n.forwarder.UnreachableUpstreams()) }},
+		{"admission_levels", "Services of which less urgent requests are refused.", func() float64 { return float64(len(n.forwarder.AdmissionLevels())) }},
 		{"isolated", "1 while this entry reaches no upstream.", func() float64 { return boolGauge(n.forwarder.IsIsolated()) }},
 		{"store_age_seconds", "Time since the store was last reached, by the entry or by its source.", func() float64 { return n.follower.Staleness(time.Now()).Seconds() }},
 	}
--- a/io/serve/admit.go
+++ b/io/serve/admit.go
@@ -77,3 +77,17 @@
 	g, rank := f.gateOf(req.Service), rankOf(req)
 	return g.returns.Plan(now, rank, f.fleet.RetryAfter(now, req, waiting), g.ReturnRate(now, rank))
 }
+
+// AdmissionLevels returns what the gates refuse, by service. Services that refuse nothing
+// are left out.
+func (f *Forwarder) AdmissionLevels() map[string]admit.Level {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, out := time.Now(), map[string]admit.Level{}
+	for service, g := range f.gates {
+		if level := g.Level(now); level.IsRefusing {
+			out[service] = level
+		}
+	}
+	return out
+}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -51,9 +51,11 @@
 	fallback  *link.Response
 	queueWait time.Duration
 	// turn is the turn of the request's account that was spent on the next attempt.
-	turn      pick.Turn
-	summaries []attemptSummary
-	errorKind magnolialedge.ErrorKind
+	turn pick.Turn
+	// isNotAdmitted is set if the request was refused because of its priority.
+	isNotAdmitted bool
+	summaries     []attemptSummary
+	errorKind     magnolialedge.ErrorKind
 	// shortage and queued are the capacity and the number of queued requests for
 	// which the request was rejected; shortage may be nil.
 	shortage *pick.Shortage
@@ -232,7 +234,7 @@
 		}
 		if len(candidates) == 0 || mustQueue {
 			start := time.Now()
-			ok := f.waitForCapacity(ctx, x.pickReq, &x.turn, x.match.Service.HealthPath)
+			ok := x.waitForCapacity(ctx)
 			x.queueWait += time.Since(start)
 			if !ok {
 				return nil, magnolialedge.KindOverloaded
--- a/io/serve/queue.go
+++ b/io/serve/queue.go
@@ -40,17 +40,18 @@
 	}
 }
 
-// waitForCapacity queues a request until an upstream has capacity. It returns
-// false if the request was not admitted, timed out or was canceled. It updates the turn of
-// the request.
-func (f *Forwarder) waitForCapacity(ctx context.Context, req pick.Request, turn *pick.Turn, healthPath string) bool {
+// waitForCapacity queues the request until an upstream has capacity. It returns
+// false if the request was not admitted, timed out or was canceled.
+func (x *exchange) waitForCapacity(ctx context.Context) bool {
+	f, req := x.f, x.pickReq
 	wake := make(chan pick.WakeReason, 1)
 	now := time.Now()
-	w := &pick.Waiter{Request: req, EnqueuedAt: now, Turn: *turn, Wake: func(v pick.WakeReason) { wake <- v }}
+	w := &pick.Waiter{Request: req, EnqueuedAt: now, Turn: x.turn, Wake: func(v pick.WakeReason) { wake <- v }}
 	f.mu.Lock()
 	q := f.queueFor(req.Service)
-	q.healthPath = healthPath
-	queued := f.admits(now, q, w) && q.Push(now, w, f.fleet)
+	q.healthPath = x.match.Service.HealthPath
+	x.isNotAdmitted = !f.admits(now, q, w)
+	queued := !x.isNotAdmitted && q.Push(now, w, f.fleet)
 	if queued && !q.isPolled {
 		q.isPolled = true
 		go f.pollQueue(req.Service, q)
@@ -65,7 +66,7 @@
 	}
 	select {
 	case reason := <-wake:
-		*turn = w.Turn
+		x.turn = w.Turn
 		return reason == pick.WakeForCapacity
 	case <-ctx.Done():
 		f.mu.Lock()
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -61,6 +61,7 @@
 		"expectedWaitMs", s.ExpectedWait.Milliseconds(),
 		"serviceMs", s.ServiceTime.Milliseconds(),
 		"readingAgeMs", s.ReadingAge.Milliseconds(),
+		"notAdmitted", x.isNotAdmitted,
 	}
 }
 
