Admit requests for which an upstream has a free slot

Cause: with accounts, a request may have to queue behind others although a slot is free; the gate could refuse it. Change: the gate decides only on requests without a candidate.

--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -234,7 +234,7 @@
 		}
 		if len(candidates) == 0 || mustQueue {
 			start := time.Now()
-			ok := x.waitForCapacity(ctx)
+			ok := x.waitForCapacity(ctx, len(candidates) > 0)
 			x.queueWait += time.Since(start)
 			if !ok {
 				return nil, magnolialedge.KindOverloaded
--- a/io/serve/queue.go
+++ b/io/serve/queue.go
@@ -41,8 +41,9 @@
 }
 
 // waitForCapacity queues the request until an upstream has capacity. It returns
-// false if the request was not admitted, timed out or was canceled.
-func (x *exchange) waitForCapacity(ctx context.Context) bool {
+// false if the request was not admitted, timed out or was canceled. hasCandidate is set if
+// an upstream has capacity, which may be for requests that already wait.
+func (x *exchange) waitForCapacity(ctx context.Context, hasCandidate bool) bool {
 	f, req := x.f, x.pickReq
 	wake := make(chan pick.WakeReason, 1)
 	now := time.Now()
@@ -50,7 +51,7 @@
 	f.mu.Lock()
 	q := f.queueFor(req.Service)
 	q.healthPath = x.match.Service.HealthPath
-	x.isNotAdmitted = !f.admits(now, q, w)
+	x.isNotAdmitted = !hasCandidate && !f.admits(now, q, w)
 	queued := !x.isNotAdmitted && q.Push(now, w, f.fleet)
 	if queued && !q.isPolled {
 		q.isPolled = true
