Let requests wait after a common start where no upstream is fast enough

Cause: within 10 s of a common start, requests were refused once they missed their target, also while all upstreams were too slow for it, and after a failed attempt. Change: both kinds of requests are exempt.

--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -57,7 +57,7 @@
 func (q *Queue) Push(now time.Time, w *Waiter, f *Fleet) bool {
 	wait, serviceTime := f.expectedWait(now, w.Request, q.countAhead(now, w, f))
 	end := now.Add(wait + serviceTime)
-	if !end.Before(w.Request.Deadline) || (q.isStrict(now, w.Request, f) && end.After(w.Request.SoftDeadline)) {
+	if !end.Before(w.Request.Deadline) || (end.After(w.Request.SoftDeadline) && q.isStrict(now, w.Request, f)) {
 		return false
 	}
 	q.waiters = append(q.waiters, w)
@@ -89,9 +89,18 @@
 }
 
 // isStrict reports whether the request waits only while it can meet its latency target. One
-// that cannot meet it even without a wait is exempt.
+// that was sent before is exempt, as is one that no upstream serves within its target.
 func (q *Queue) isStrict(now time.Time, req Request, f *Fleet) bool {
-	return now.Before(q.strictUntil) && req.LatencyTarget > 0 && !isTooSlowForTarget(req, f.ServiceTimeNanos(req))
+	return now.Before(q.strictUntil) && req.LatencyTarget > 0 && len(req.Tried) == 0 && f.hasFastUpstream(now, req)
+}
+
+// hasFastUpstream reports whether some usable upstream serves requests of this kind within
+// their latency target.
+func (f *Fleet) hasFastUpstream(now time.Time, req Request) bool {
+	serviceTime := f.ServiceTimeNanos(req)
+	return slices.ContainsFunc(f.byService[req.Service], func(u *upstream) bool {
+		return u.isUsable(now) && !isTooSlowForTarget(req, serviceTime*u.slowdownAt(now))
+	})
 }
 
 // Remove removes a waiter and reports whether it was in the queue.
@@ -159,7 +168,7 @@
 		total := w.Request.Deadline.Sub(w.EnqueuedAt)
 		spent := now.Sub(w.EnqueuedAt)
 		tooLate := now.Add(time.Duration(f.ServiceTimeNanos(w.Request))).After(w.Request.Deadline)
-		isMissed := q.isStrict(now, w.Request, f) && !f.CanMeetTarget(now, w.Request)
+		isMissed := !f.CanMeetTarget(now, w.Request) && q.isStrict(now, w.Request, f)
 		if !tooLate && !isMissed && float64(spent) < maxWaitShare*float64(total) {
 			return false
 		}
--- a/core/pick/queue_test.go
+++ b/core/pick/queue_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"magnolialedge"
 )
 
 // recordingQueue is a queue that records the order in which its waiters are
@@ -118,3 +120,18 @@
 	require.Equal(t, map[string]WakeReason{"first": WakeTimedOut}, q.woken)
 	require.True(t, q.push(at(1000), f, "late", testRequest(at(850))), "the start is over")
 }
+
+// Requests must not be refused for a target that no upstream can meet while all are slow,
+// nor after an attempt, whose outcome may be unknown.
+func TestStrictQueueExemptsSlowServicesAndRetries(t *testing.T) {
+	f := newFullFleet(1)
+	q := &recordingQueue{woken: map[string]WakeReason{}}
+	q.SetStrictUntil(at(1000))
+	tried := testRequest(at(-150))
+	tried.Tried = []string{"b"}
+	require.True(t, q.push(at(0), f, "tried", tried))
+	f.RecordLoad(at(0), "a", magnolialedge.LoadReading{Slots: 1, Slowdown: 5})
+	require.True(t, q.push(at(0), f, "slow", testRequest(at(-150))))
+	q.Dispatch(at(20), f)
+	require.NotContains(t, q.woken, "slow")
+}
