Merge fairness, admission and retries for scarce capacity

The order of waiting requests and the readings at a start go through the filter of upstreams; a waiter counts only those ahead that may need the same upstreams.

--- a/cmd/magnolialedge/explain.go
+++ b/cmd/magnolialedge/explain.go
@@ -154,6 +154,9 @@
 	if causes := formatExclusions(fields); causes != "" {
 		text += "; " + causes
 	}
+	if fields["notAdmitted"] == "true" {
+		text += "; not admitted to the queue, because more urgent requests took all capacity"
+	}
 	if fields["unreachable"] == "" {
 		return text
 	}
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"magnolialedge/core/admit"
 	"magnolialedge/core/proc"
 )
 
@@ -18,6 +19,8 @@
 	Request Request
 	// EnqueuedAt is the time at which the request entered the queue.
 	EnqueuedAt time.Time
+	// Turn is the turn of the request's account that was spent on the request, if any.
+	Turn Turn
 	// Wake is called once, when a slot may be free or when the wait has timed
 	// out.
 	Wake func(WakeReason)
@@ -38,6 +41,10 @@
 // concurrent use.
 type Queue struct {
 	waiters []*Waiter
+	turns   map[turnClass]*turns
+	// strictUntil is the time until which only requests wait that can meet their latency
+	// target.
+	strictUntil time.Time
 }
 
 // Len returns the number of waiting requests.
@@ -48,20 +55,57 @@
 // Push adds a waiter. It returns false if the request is not expected to end
 // before its deadline.
 func (q *Queue) Push(now time.Time, w *Waiter, f *Fleet) bool {
-	ahead := 0
-	for _, x := range q.waiters {
-		if w.Request.sharesRegion(x.Request) && !isBefore(now, w, x, f) {
-			ahead++
-		}
-	}
-	wait, serviceTime := f.expectedWait(now, w.Request, ahead)
-	if !now.Add(wait + serviceTime).Before(w.Request.Deadline) {
+	wait, serviceTime := f.expectedWait(now, w.Request, q.countAhead(now, w, f))
+	end := now.Add(wait + serviceTime)
+	if !end.Before(w.Request.Deadline) || (end.After(w.Request.SoftDeadline) && q.isStrict(now, w.Request, f)) {
 		return false
 	}
 	q.waiters = append(q.waiters, w)
 	return true
 }
 
+// AttemptOf describes a waiter that is not in the queue yet, for the decision whether it
+// is admitted.
+func (q *Queue) AttemptOf(now time.Time, w *Waiter, f *Fleet) admit.Attempt {
+	return admit.Attempt{
+		Rank:    admit.Rank{Account: w.Request.AccountPriority, Route: w.Request.Priority},
+		Ahead:   q.countAhead(now, w, f),
+		MaxWait: time.Duration(maxWaitShare * float64(w.Request.Deadline.Sub(now))),
+	}
+}
+
+// countAhead returns the number of waiters that are woken before w and may need the same
+// upstreams.
+func (q *Queue) countAhead(now time.Time, w *Waiter, f *Fleet) int {
+	rivals := slices.DeleteFunc(slices.Clone(q.waiters), func(x *Waiter) bool { return !w.Request.sharesRegion(x.Request) })
+	ranks := q.rankAll(now, append(rivals, w), f)
+	return slices.IndexFunc(ranks, func(r rank) bool { return r.waiter == w })
+}
+
+// SetStrictUntil lets only requests wait, until the given time, that can meet their latency
+// target. When all entries start together, their callers return at once; served in the
+// usual order, many requests would be served late that can be served in time when they
+// come back.
+func (q *Queue) SetStrictUntil(until time.Time) {
+	q.strictUntil = until
+}
+
+// isStrict reports whether the request waits only while it can meet its latency target. One
+// that was sent before is exempt, as is one that no upstream serves within its target.
+func (q *Queue) isStrict(now time.Time, req Request, f *Fleet) bool {
+	return now.Before(q.strictUntil) && req.LatencyTarget > 0 && len(req.Tried) == 0 && f.hasFastUpstream(now, req)
+}
+
+// hasFastUpstream reports whether some usable upstream serves requests of this kind within
+// their latency target.
+func (f *Fleet) hasFastUpstream(now time.Time, req Request) bool {
+	serviceTime := f.ServiceTimeNanos(req)
+	p := f.newFilter(now, req)
+	return slices.ContainsFunc(f.byService[req.Service], func(u *upstream) bool {
+		return p.admits(u) && !isTooSlowForTarget(req, serviceTime*u.slowdownAt(now))
+	})
+}
+
 // Remove removes a waiter and reports whether it was in the queue.
 func (q *Queue) Remove(w *Waiter) bool {
 	i := slices.Index(q.waiters, w)
@@ -84,15 +128,9 @@
 // have a candidate, in order, and no more of them than there are free slots.
 func (q *Queue) Dispatch(now time.Time, f *Fleet) {
 	q.dropExpired(now, f)
-	slices.SortStableFunc(q.waiters, func(a, b *Waiter) int {
-		switch {
-		case isBefore(now, a, b, f):
-			return -1
-		case isBefore(now, b, a, f):
-			return 1
-		}
-		return 0
-	})
+	for i, r := range q.rankAll(now, q.waiters, f) {
+		q.waiters[i] = r.waiter
+	}
 	blocked := map[waiterClass]bool{}
 	var promised []*upstream
 	defer func() {
@@ -101,7 +139,7 @@
 		}
 	}()
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
-		class := waiterClass{route: w.Request.serviceTimeKey(), regions: w.Request.regionsKey(), canMeetTarget: f.canMeetTarget(now, w.Request)}
+		class := waiterClass{route: w.Request.serviceTimeKey(), regions: w.Request.regionsKey(), canMeetTarget: f.CanMeetTarget(now, w.Request)}
 		if blocked[class] {
 			return false
 		}
@@ -114,6 +152,7 @@
 		u := f.byID[found[0].ID]
 		u.reserve()
 		promised = append(promised, u)
+		q.TakeTurn(f, w.Request, &w.Turn)
 		w.Wake(WakeForCapacity)
 		return true
 	})
@@ -133,7 +172,8 @@
 		total := w.Request.Deadline.Sub(w.EnqueuedAt)
 		spent := now.Sub(w.EnqueuedAt)
 		tooLate := now.Add(time.Duration(f.ServiceTimeNanos(w.Request))).After(w.Request.Deadline)
-		if !tooLate && float64(spent) < maxWaitShare*float64(total) {
+		isMissed := !f.CanMeetTarget(now, w.Request) && q.isStrict(now, w.Request, f)
+		if !tooLate && !isMissed && float64(spent) < maxWaitShare*float64(total) {
 			return false
 		}
 		w.Wake(WakeTimedOut)
@@ -141,33 +181,13 @@
 	})
 }
 
-// isBefore reports whether a is woken before b. Waiters that can still meet their
-// soft deadline come first, then those of higher account priority, then of higher route
-// priority, then the latest arrivals.
-// In first-in first-out order, an overload would let
-// each request reach an upstream just after its soft deadline; the latest
-// arrivals have the most time left.
-func isBefore(now time.Time, a, b *Waiter, f *Fleet) bool {
-	canMeetA, canMeetB := f.canMeetTarget(now, a.Request), f.canMeetTarget(now, b.Request)
-	if canMeetA != canMeetB {
-		return canMeetA
-	}
-	if a.Request.AccountPriority != b.Request.AccountPriority {
-		return a.Request.AccountPriority < b.Request.AccountPriority
-	}
-	if a.Request.Priority != b.Request.Priority {
-		return a.Request.Priority < b.Request.Priority
-	}
-	return a.Request.arrivedAt().After(b.Request.arrivedAt())
-}
-
 func (req Request) arrivedAt() time.Time {
 	return req.SoftDeadline.Add(-req.LatencyTarget)
 }
 
-// canMeetTarget reports whether a request could meet its soft deadline at an
+// CanMeetTarget reports whether a request could meet its soft deadline at an
 // upstream with a slowdown of 1.
-func (f *Fleet) canMeetTarget(now time.Time, req Request) bool {
+func (f *Fleet) CanMeetTarget(now time.Time, req Request) bool {
 	return now.Add(time.Duration(f.ServiceTimeNanos(req))).Before(req.SoftDeadline)
 }
 
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -95,8 +95,10 @@
 	// Accounts holds the client accounts, or is missing if there are none.
 	Accounts []serve.AccountState `json:"accounts,omitempty"`
 	// Limits holds the client accounts with a limit, and their credits.
-	Limits  []accountDump `json:"accountLimits,omitempty"`
-	Members any           `json:"members"`
+	Limits []accountDump `json:"accountLimits,omitempty"`
+	// Admission holds what is refused because of its priority, by service.
+	Admission any `json:"admission"`
+	Members   any `json:"members"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -117,6 +119,7 @@
 			Cold:      n.coldUpstreams(),
 			Accounts:  n.forwarder.AccountStates(),
 			Limits:    n.credits.dump(time.Now()),
+			Admission: n.forwarder.AdmissionLevels(),
 		})
 	})
 	return e
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -21,6 +21,7 @@
 		{"upstreams_cold", "Upstreams that are cold and whose service limits the requests to them.", func() float64 { return float64(len(n.forwarder.ColdUpstreams())) }},
 		{"upstreams_unreachable", "Upstreams that did not respond to this entry when it last tried them.", func() float64 { return float64(n.forwarder.UnreachableUpstreams()) }},
 		{"evacuated_zones", "Evacuated availability zones.", func() float64 { return float64(len(n.evacuations.list())) }},
+		{"admission_levels", "Services of which less urgent requests are refused.", func() float64 { return float64(len(n.forwarder.AdmissionLevels())) }},
 		{"isolated", "1 while this entry reaches no upstream.", func() float64 { return boolGauge(n.forwarder.IsIsolated()) }},
 		{"store_age_seconds", "Time since the store was last reached, by the entry or by its source.", func() float64 { return n.follower.Staleness(time.Now()).Seconds() }},
 	}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -55,8 +55,12 @@
 	// attempt yields a better one.
 	fallback  *link.Response
 	queueWait time.Duration
-	summaries []attemptSummary
-	errorKind magnolialedge.ErrorKind
+	// turn is the turn of the request's account that was spent on the next attempt.
+	turn pick.Turn
+	// isNotAdmitted is set if the request was refused because of its priority.
+	isNotAdmitted bool
+	summaries     []attemptSummary
+	errorKind     magnolialedge.ErrorKind
 	// shortage and queued are the capacity and the number of queued requests for
 	// which the request was rejected; shortage may be nil.
 	shortage *pick.Shortage
@@ -204,7 +208,7 @@
 		return
 	}
 	x.isCounted = true
-	x.f.depositRetry(x.pickReq.Service)
+	x.f.countRequest(x.pickReq)
 }
 
 // isUnreached reports whether the request may be handed over because this entry found no
@@ -244,13 +248,14 @@
 		}
 		f.mu.Lock()
 		candidates, available := f.fleet.Candidates(time.Now(), x.pickReq, maxCandidates)
+		mustQueue := x.mustQueue()
 		f.mu.Unlock()
 		if !available {
 			return nil, magnolialedge.KindNoUpstream
 		}
-		if len(candidates) == 0 {
+		if len(candidates) == 0 || mustQueue {
 			start := time.Now()
-			ok := f.waitForCapacity(ctx, x.pickReq, x.match.Service.HealthPath)
+			ok := x.waitForCapacity(ctx, len(candidates) > 0)
 			x.queueWait += time.Since(start)
 			if !x.reauthenticate() {
 				return nil, magnolialedge.KindUnauthorized
@@ -267,6 +272,13 @@
 	return nil, magnolialedge.KindDeadlineExceeded
 }
 
+// mustQueue reports whether the request does not take a free slot before waiting ones,
+// because the accounts take turns. The caller holds f.mu.
+func (x *exchange) mustQueue() bool {
+	q := x.f.queueFor(x.pickReq.Service)
+	return q.HasTurns() && q.Len() > 0 && !x.turn.IsTaken()
+}
+
 // chooseCandidate probes the candidates, begins an attempt at the best one and
 // returns it with a connection, or nil if none is left or connecting fails.
 // Because the best candidate after a probe may be one that was not probed, it
@@ -303,6 +315,9 @@
 		return nil, candidates
 	}
 	x.f.fleet.BeginAttempt(now, candidates[0].ID)
+	x.f.recordStart(now, x.pickReq.Service)
+	x.f.queueFor(x.pickReq.Service).TakeTurn(x.f.fleet, x.pickReq, &x.turn)
+	x.turn = pick.Turn{}
 	return &candidates[0], nil
 }
 
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -76,6 +76,10 @@
 	fleet        *pick.Fleet
 	queues       map[string]*queue
 	retryBudgets map[string]*proc.RatioBudget
+	gates        map[string]*gate
+	// strictUntil is the time until which only requests wait that can meet their latency
+	// target.
+	strictUntil time.Time
 	// entryCount is the number of live entries, which share the retry and probe
 	// budgets.
 	entryCount  int
@@ -113,6 +117,7 @@
 		fleet:         cfg.Fleet,
 		queues:        map[string]*queue{},
 		retryBudgets:  map[string]*proc.RatioBudget{},
+		gates:         map[string]*gate{},
 		probeBudget:   proc.NewProbeBudget(cfg.Probes, time.Now()),
 		quarantine:    proc.NewQuarantine(),
 		reach:         reach.NewTracker(),
@@ -147,7 +152,7 @@
 	if f.routes != nil {
 		previous = f.routes.Config()
 	}
-	f.routes = route.NewTable(r, f.routes)
+	f.setRoutes(r)
 	f.accounts = accounts
 	if accounts != nil {
 		f.accountUsage.Retain(func(name string) bool { return accounts.Account(name) != nil })
@@ -294,33 +299,6 @@
 	f.probeBudget.Resize(time.Now(), f.entryCount, f.fleet.TotalUpstreams())
 }
 
-func (f *Forwarder) retryBudget(service string) *proc.RatioBudget {
-	b, ok := f.retryBudgets[service]
-	if !ok {
-		b = f.cfg.Retries.NewRetryBudget(f.entryCount)
-		f.retryBudgets[service] = b
-	}
-	return b
-}
-
-func (f *Forwarder) depositRetry(service string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.retryBudget(service).Deposit()
-}
-
-func (f *Forwarder) withdrawRetry(service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.retryBudget(service).Withdraw()
-}
-
-func (f *Forwarder) refundRetry(service string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.retryBudget(service).Refund()
-}
-
 // errorResponse returns a response that the load balancer generates itself.
 func errorResponse(kind magnolialedge.ErrorKind, retryAfter time.Duration) *front.Response {
 	spec := magnolialedge.ErrorResponseFor(kind)
--- a/io/serve/report.go
+++ b/io/serve/report.go
@@ -74,6 +74,7 @@
 		"expectedWaitMs", s.ExpectedWait.Milliseconds(),
 		"serviceMs", s.ServiceTime.Milliseconds(),
 		"readingAgeMs", s.ReadingAge.Milliseconds(),
+		"notAdmitted", x.isNotAdmitted,
 	}
 	if s.Evacuated > 0 {
 		fields = append(fields, "evacuated", s.Evacuated)
