--- a/io/soak/entry.go
+++ b/io/soak/entry.go
@@ -40,9 +40,11 @@
 	gateway      *stand.Server
 
 	mu sync.Mutex
-	// binary is the path of the program that start runs.
-	binary  string
-	current *process
+	// binary is the path of the program that start runs, and hasNoGateway is set if the
+	// program has no gatewayFlag.
+	binary       string
+	hasNoGateway bool
+	current      *process
 	// isStopExpected is true once the process has been signalled to stop.
 	isStopExpected bool
 	// runCount is the number of processes started so far.
@@ -106,7 +108,11 @@
 	defer e.mu.Unlock()
 	e.isStopExpected = false
 	e.runCount++
-	e.current, err = startProcess(e.binary, e.settingsPath, e.metricsPort, e.gateway.Address(), out)
+	gateway := e.gateway.Address()
+	if e.hasNoGateway {
+		gateway = ""
+	}
+	e.current, err = startProcess(e.binary, e.settingsPath, e.metricsPort, gateway, out)
 	return err
 }
 
--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -4,6 +4,7 @@
 	"io"
 	"os/exec"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -17,11 +18,25 @@
 	done chan struct{}
 }
 
+// gatewayFlag is the flag for the gateway to the upstreams. Releases before a141b31 have
+// none, so that no fault cuts their entries off from the upstreams.
+const gatewayFlag = "--upstream-gateway"
+
+// hasGatewayFlag reports whether a program has gatewayFlag.
+func hasGatewayFlag(binary string) bool {
+	help, err := exec.Command(binary, "serve", "--help").Output()
+	return err == nil && strings.Contains(string(help), gatewayFlag)
+}
+
 // startProcess starts an entry with the given settings file, and writes its output
-// to log. The entry connects to upstreams through gateway. The kernel kills the entry when this process dies.
+// to log. The entry connects to upstreams through gateway, unless that is empty. The
+// kernel kills the entry when this process dies.
 func startProcess(binary, settingsPath string, metricsPort int, gateway string, log io.Writer) (*process, error) {
 	cmd := exec.Command(binary, "serve", "--metrics-port", strconv.Itoa(metricsPort))
-	cmd.Args = append(cmd.Args, "--settings-file", settingsPath, "--upstream-gateway", gateway)
+	cmd.Args = append(cmd.Args, "--settings-file", settingsPath)
+	if gateway != "" {
+		cmd.Args = append(cmd.Args, gatewayFlag, gateway)
+	}
 	cmd.Stdout = log
 	cmd.Stderr = log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/io/soak/release.go
+++ b/io/soak/release.go
@@ -63,9 +63,10 @@
 
 // setBinary sets the program with which the entry starts next.
 func (e *entry) setBinary(binary string) {
+	hasGateway := hasGatewayFlag(binary)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.binary = binary
+	e.binary, e.hasNoGateway = binary, !hasGateway
 }
 
 // rollOut restarts the entries in random order with the release that they did not run at
