Turn admission control on by accounts or a flag

Result: go test ./io/serve and ./core/pick (but for known failures) pass, and the tests of the start, admission and cut-off entries in io/node with the flag.

--- a/cmd/magnolialedge/serve.go
+++ b/cmd/magnolialedge/serve.go
@@ -18,6 +18,7 @@
 type serveCommand struct {
 	SettingsFile    string `help:"Path of the settings file that the platform writes." required:"" env:"MAGNOLIALEDGE_NODE_FILE"`
 	UpstreamGateway string `help:"Address of an HTTP CONNECT proxy for connections to upstreams; without one they are opened directly." env:"MAGNOLIALEDGE_UPSTREAM_GATEWAY"`
+	Admission       bool   `help:"Refuse less urgent requests at once while capacity is short, also without client accounts." env:"MAGNOLIALEDGE_ADMISSION"`
 	MetricsPort     int    `help:"Port for metrics and dumps; 0 disables them." default:"0" env:"MAGNOLIALEDGE_METRICS_PORT"`
 }
 
@@ -30,6 +31,7 @@
 	n, err := node.New(node.Config{
 		Settings:    settings,
 		MetricsPort: c.MetricsPort,
+		Admission:   c.Admission,
 		Headers:     platform.HeaderProtocol(),
 		Decoder:     platform.Decoder{},
 		API:         platform.EntryAPI{},
--- a/io/node/cluster_test.go
+++ b/io/node/cluster_test.go
@@ -37,7 +37,9 @@
 	requestSeq int
 	// coldPerSecond is the limit of cold upstreams, or 0.
 	coldPerSecond float64
-	mu            sync.Mutex
+	// admission turns admission control by priority on.
+	admission bool
+	mu        sync.Mutex
 }
 
 // testEntry is a running entry.
@@ -74,8 +76,18 @@
 // newTestCluster marks the test as parallel and starts a store with a
 // configuration, two upstreams and one entry.
 func newTestCluster(t *testing.T) *testCluster {
+	return newTestClusterWith(t, func(*testCluster) {})
+}
+
+// newAdmissionCluster returns a testCluster whose entries have admission control by priority.
+func newAdmissionCluster(t *testing.T) *testCluster {
+	return newTestClusterWith(t, func(tc *testCluster) { tc.admission = true })
+}
+
+func newTestClusterWith(t *testing.T, change func(*testCluster)) *testCluster {
 	t.Parallel()
 	tc := &testCluster{t: t, store: stand.NewStore(), version: 1}
+	change(tc)
 	t.Cleanup(tc.store.Close)
 	tc.routes = []string{
 		routeJSON("reads", "/reads/", "safe", 1000, "svc"),
@@ -190,6 +202,7 @@
 		API:         platform.EntryAPI{},
 		NewStore:    platform.OpenStore,
 		LogWriter:   e.logs,
+		Admission:   tc.admission,
 
 		UpstreamDialer: e.partition,
 	})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -40,6 +40,8 @@
 	// with the name of each call.
 	NewStore  func(address string, transport *http.Transport, count func(call string)) magnolialedge.Keyspace
 	LogWriter io.Writer
+	// Admission turns on admission control by priority also without client accounts.
+	Admission bool
 	// UpstreamDialer opens the connections to upstreams. If it is nil, they are opened
 	// directly.
 	UpstreamDialer link.Dialer
@@ -155,6 +157,7 @@
 		ReportLimit: n.reportLimit,
 		ReportCold:  n.reportCold,
 		Quotas:      n.credits,
+		Admission:   cfg.Admission,
 	})
 	n.callerServer = front.NewServer(front.Config{
 		Handler:            n.forwarder,
--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -46,13 +46,12 @@
 // together.
 func (n *Node) detectCommonStart(now time.Time) {
 	until := n.start.Add(commonStartTime)
-	if n.hasCommonStart || now.After(until) {
+	if n.hasCommonStart || now.After(until) || !n.forwarder.IsReady() {
 		return
 	}
 	entries := n.members.list()
 	n.hasCommonStart = proc.StartedTogether(n.self(), entries)
-	if n.hasCommonStart {
-		n.forwarder.SetStrictUntil(until)
+	if n.hasCommonStart && n.forwarder.SetStrictUntil(until) {
 		n.log.Log(event.StartedTogether, "entries", len(entries), "untilMs", until.Sub(now).Milliseconds())
 	}
 }
--- a/io/serve/admit.go
+++ b/io/serve/admit.go
@@ -32,8 +32,18 @@
 	return admit.Rank{Account: req.AccountPriority, Route: req.Priority}
 }
 
+// hasAdmission reports whether scarce capacity is divided by priority. Without, requests
+// wait, are retried and are told to return as if all had the same rank. The caller holds
+// f.mu.
+func (f *Forwarder) hasAdmission() bool {
+	return f.cfg.Admission || f.accounts != nil
+}
+
 // admits reports whether a waiter may enter the queue. The caller holds f.mu.
 func (f *Forwarder) admits(now time.Time, q *queue, w *pick.Waiter) bool {
+	if !f.hasAdmission() {
+		return true
+	}
 	g := f.gateOf(w.Request.Service)
 	if !g.MayRefuse(now, rankOf(w.Request)) {
 		return true
@@ -74,8 +84,12 @@
 // planReturn returns the time after which the caller of a refused request is told to come
 // back. The caller holds f.mu.
 func (f *Forwarder) planReturn(now time.Time, req pick.Request, waiting int) time.Duration {
+	earliest := f.fleet.RetryAfter(now, req, waiting)
+	if !f.hasAdmission() {
+		return earliest
+	}
 	g, rank := f.gateOf(req.Service), rankOf(req)
-	return g.returns.Plan(now, rank, f.fleet.RetryAfter(now, req, waiting), g.ReturnRate(now, rank))
+	return g.returns.Plan(now, rank, earliest, g.ReturnRate(now, rank))
 }
 
 // AdmissionLevels returns what the gates refuse, by service. Services that refuse nothing
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -58,6 +58,9 @@
 	ReportCold func(r magnolialedge.Registration, remaining time.Duration)
 	// Quotas keeps the limits of client accounts. It may be nil.
 	Quotas AccountQuotas
+	// Admission turns on admission control by priority. It is on, too, while the
+	// configuration has client accounts.
+	Admission bool
 }
 
 // Forwarder proxies the requests of callers to upstreams. It implements
@@ -152,8 +155,8 @@
 	if f.routes != nil {
 		previous = f.routes.Config()
 	}
-	f.setRoutes(r)
 	f.accounts = accounts
+	f.setRoutes(r)
 	if accounts != nil {
 		f.accountUsage.Retain(func(name string) bool { return accounts.Account(name) != nil })
 	}
--- a/io/serve/queue.go
+++ b/io/serve/queue.go
@@ -24,7 +24,7 @@
 	q, ok := f.queues[service]
 	if !ok {
 		q = &queue{}
-		q.SetStrictUntil(f.strictUntil)
+		q.SetStrictUntil(f.strictLimit())
 		f.queues[service] = q
 	}
 	return q
@@ -107,12 +107,22 @@
 const maxPolledUpstreams = 3
 
 // SetStrictUntil lets only requests wait, until the given time, that can meet their latency
-// target.
-func (f *Forwarder) SetStrictUntil(until time.Time) {
+// target. It reports whether that has an effect, which takes admission control.
+func (f *Forwarder) SetStrictUntil(until time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.strictUntil = until
 	for _, q := range f.queues {
-		q.SetStrictUntil(until)
+		q.SetStrictUntil(f.strictLimit())
 	}
+	return f.hasAdmission()
+}
+
+// strictLimit returns the time until which the queues are strict, or zero. The caller holds
+// f.mu.
+func (f *Forwarder) strictLimit() time.Time {
+	if !f.hasAdmission() {
+		return time.Time{}
+	}
+	return f.strictUntil
 }
--- a/io/serve/start.go
+++ b/io/serve/start.go
@@ -13,8 +13,9 @@
 	// two rounds.
 	startReadingTime     = 200 * time.Millisecond
 	startReadingInterval = 20 * time.Millisecond
-	// maxStartReadings limits the upstreams of one round. An entry uses few upstreams.
-	maxStartReadings = 8
+	// maxStartReadings limits the upstreams whose load is read. An entry uses few, and each
+	// reading needs a new connection.
+	maxStartReadings = 16
 )
 
 // readLoadsAtStart takes the load readings of the upstreams that this entry will use, as
@@ -23,17 +24,19 @@
 func (f *Forwarder) readLoadsAtStart() {
 	ticker := time.NewTicker(startReadingInterval)
 	defer ticker.Stop()
-	for end := time.Now().Add(startReadingTime); time.Now().Before(end); <-ticker.C {
+	left := maxStartReadings
+	for end := time.Now().Add(startReadingTime); left > 0 && time.Now().Before(end); <-ticker.C {
 		f.mu.Lock()
 		now := time.Now()
 		if f.closed {
 			f.mu.Unlock()
 			return
 		}
-		limit := min(maxStartReadings, f.probeBudget.Available(now))
+		limit := min(left, f.probeBudget.Available(now))
 		unread := f.fleet.UnreadUpstreams(now, routedServices(f.routes), limit)
 		healthPaths := healthPaths(f.routes)
 		f.mu.Unlock()
+		left -= len(unread)
 		for _, r := range unread {
 			f.startProbe(r, 0, healthPaths[r.Service])
 		}
@@ -61,7 +64,7 @@
 func (f *Forwarder) setRoutes(r magnolialedge.RoutingConfig) {
 	isFirst := f.routes == nil
 	f.routes = route.NewTable(r, f.routes)
-	if isFirst {
+	if isFirst && f.hasAdmission() {
 		go f.readLoadsAtStart()
 	}
 }
