--- a/cmd/standin/routed.go
+++ b/cmd/standin/routed.go
@@ -37,6 +37,7 @@
 	AllowedRegions    []string      `name:"regions" help:"Regions whose upstreams may serve the requests; none for all."`
 	cutOptions        `embed:""`
 	evacuateOptions   `embed:""`
+	accountOptions    `embed:""`
 }
 
 const (
@@ -52,7 +53,7 @@
 func (c *routedCommand) Run(ctx context.Context) error {
 	cluster := stand.NewCluster(stand.ClusterConfig{
 		Zones: []string{"east-a", "east-b"}, UpstreamsPerZone: c.UpstreamsPerZone, Slots: c.Slots, WorkDuration: c.ServiceTime,
-		NoiseProbability: c.NoiseProbability, NoiseFactor: noiseFactor, NoiseInterval: c.NoiseInterval, Seed: c.Seed, AllowedRegions: c.AllowedRegions,
+		NoiseProbability: c.NoiseProbability, NoiseFactor: noiseFactor, NoiseInterval: c.NoiseInterval, Seed: c.Seed, AllowedRegions: c.AllowedRegions, Accounts: c.list(),
 	})
 	defer cluster.Close()
 	go cluster.Run(ctx)
@@ -69,7 +70,11 @@
 	go c.cutOptions.run(ctx, partitions)
 	go c.evacuateOptions.run(ctx, cluster.Store)
 	headers := platform.HeaderProtocol()
-	fmt.Printf("curl -H 'Host: %s' -H '%s: 1' -H '%s: 1000' http://%s/reads/1\n", stand.Host, headers.RequestID, headers.Deadline, callers[0])
+	key := ""
+	if c.Accounts > 0 {
+		key = fmt.Sprintf("-H '%s: %s' ", headers.APIKey, c.key(0))
+	}
+	fmt.Printf("curl -H 'Host: %s' -H '%s: 1' -H '%s: 1000' %shttp://%s/reads/1\n", stand.Host, headers.RequestID, headers.Deadline, key, callers[0])
 	if c.RequestsPerSecond <= 0 {
 		<-ctx.Done()
 		return nil
@@ -184,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), routedTimeout)
 	defer cancel()
 	response, _ := stand.Send(ctx, m.client, address, stand.Request{
-		ID: strconv.Itoa(i), Method: http.MethodGet, Path: fmt.Sprintf("/reads/%d", i), Timeout: routedTimeout,
+		ID: strconv.Itoa(i), Method: http.MethodGet, Path: fmt.Sprintf("/reads/%d", i), Timeout: routedTimeout, Key: m.cmd.key(i),
 	})
 	status := response.Status
 	latency := time.Since(scheduledAt)
--- a/cmd/standin/routed_test.go
+++ b/cmd/standin/routed_test.go
@@ -26,3 +26,16 @@
 	defer cancel()
 	require.NoError(t, c.Run(ctx))
 }
+
+// Guards against keys of the sample accounts that the entries refuse.
+func TestRoutedCommandMeasuresAccounts(t *testing.T) {
+	c := &routedCommand{
+		Entries: 2, FirstPort: 18280, UpstreamsPerZone: 2, Slots: 4, ServiceTime: 10 * time.Millisecond, RequestsPerSecond: 60, Duration: 500 * time.Millisecond, Seed: 1,
+		accountOptions: accountOptions{Accounts: 2},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	require.NoError(t, c.Run(ctx))
+	require.Empty(t, (&accountOptions{}).key(7))
+	require.Equal(t, "sample-key-1", c.key(7))
+}
