Pass on only the last change of each key in a batch

Change: a mirror applies and passes on the last change of each key in a batch.

Result: TestOnlyTheLastChangeOfAKeyIsPassedOn fails without it (40 changes) and passes; core and io/mirror pass.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -138,14 +138,14 @@
 	return effective
 }
 
-// ApplyChanges applies changes up to a position and returns those that took effect.
-// Changes of another era than that of the mirror are ignored.
+// ApplyChanges applies changes up to a position and returns those that took effect, the last
+// one of each key. Changes of another era than that of the mirror are ignored.
 func (m *Mirror) ApplyChanges(now time.Time, changes []magnolialedge.Item, p magnolialedge.Position) []magnolialedge.Item {
 	if p.Era != m.position.Era {
 		return nil
 	}
 	var effective []magnolialedge.Item
-	for _, c := range changes {
+	for _, c := range lastOfEachKey(changes) {
 		switch {
 		case c.Deleted:
 			effective = m.applyRemoval(effective, now, c)
@@ -157,6 +157,27 @@
 	return effective
 }
 
+// lastOfEachKey returns the last change of each key, in order. When a large item changes many
+// times within a second, the versions in between would delay the last one on narrow links.
+func lastOfEachKey(changes []magnolialedge.Item) []magnolialedge.Item {
+	last := make(map[string]int, len(changes))
+	for i, c := range changes {
+		if j, ok := last[c.Key]; !ok || c.Revision >= changes[j].Revision {
+			last[c.Key] = i
+		}
+	}
+	if len(last) == len(changes) {
+		return changes
+	}
+	out := make([]magnolialedge.Item, 0, len(last))
+	for i, c := range changes {
+		if last[c.Key] == i {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // ExpireHeld applies the held removals once removalHold has passed since the
 // end of the outage, and the held items of a copy once copyHold has passed since
 // the restoration. It returns the changes that took effect.
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -95,3 +95,19 @@
 	require.Empty(t, m.ApplySnapshot(at(100), FromPeer, []magnolialedge.Item{item("a", 3), item("b", 2)}, position(8)))
 	require.EqualValues(t, 10, m.Position().Revision)
 }
+
+// Load pattern: forty versions of a large configuration within four seconds. Those that a later
+// one in the same batch replaces must not be passed on, since they delay it.
+func TestOnlyTheLastChangeOfAKeyIsPassedOn(t *testing.T) {
+	m := New(Config{})
+	m.ApplySnapshot(at(0), FromStore, nil, magnolialedge.Position{Revision: 1})
+	var changes []magnolialedge.Item
+	for i := range 40 {
+		changes = append(changes, magnolialedge.Item{Key: "config", Value: []byte{byte(i)}, Revision: int64(2 + 2*i)})
+	}
+	changes = append(changes, magnolialedge.Item{Key: "a", Value: []byte("a"), Revision: 83}, magnolialedge.Item{Key: "a", Revision: 84, Deleted: true})
+	effective := m.ApplyChanges(at(1), changes, magnolialedge.Position{Revision: 84})
+	require.Len(t, effective, 1)
+	require.Equal(t, []byte{39}, effective[0].Value)
+	require.Equal(t, 1, m.Len())
+}
