Name the types of account limits by what they do

Asker, Seat, Tenure, Owner and purse were figurative, or named a role that the type does not have: Owner held token buckets, and Asker is also a former name in the glossary. They are now DrawScheduler, Granter, Quorum, Buckets and accountCredits.

--- a/core/acct/owner.go
+++ b/core/acct/buckets.go
@@ -16,7 +16,8 @@
 	// reserveShare is the part of the burst that is not granted ahead of need, so that
 	// holders without credits find some.
 	reserveShare = 0.25
-	// spareReserveShare is the same of the part by which the bucket is deeper than the burst.
+	// spareReserveShare is the part of the depth beyond the burst that is not granted ahead
+	// of need.
 	spareReserveShare = 0.5
 	// depthShare is the part of the spare credits by which the bucket is deeper than the
 	// burst. It makes up for the credits that are unspent at other holders.
@@ -37,53 +38,54 @@
 	// minExhausted and maxExhausted limit the time for which a holder does not ask again.
 	minExhausted = 20 * time.Millisecond
 	maxExhausted = 400 * time.Millisecond
-	// With many holders the time is longer, up to LongestExhausted, so that they send
-	// about asksPerCredit messages for each credit, or minAskRate a second if that is more.
+	// asksPerCredit limits the messages of all holders of an account: with many of them, the
+	// time is longer, up to LongestExhausted, so that about this many are sent for each credit.
 	asksPerCredit = 2
-	minAskRate    = 50
+	// minAskRate is the number of messages per second up to which the time is not made longer.
+	minAskRate = 50
 )
 
 // LongestExhausted is the longest time for which an owner refuses credits.
 const LongestExhausted = 2 * time.Second
 
-// Owner holds the token buckets of the accounts that this entry owns. It is not safe for
+// Buckets holds the token buckets of the accounts that this entry owns. It is not safe for
 // concurrent use.
 //
 // The bucket of an account holds at most its burst, and the bucket and the outstanding
 // credits together at most the burst plus the spare credits of the Bound. The requests
 // of any window are among the credits that are outstanding or in the bucket at its
-// begin and those that the rate adds: at most burst + spare + rate x window.
-type Owner struct {
+// beginning and those that the rate adds: at most burst + spare + rate x window.
+type Buckets struct {
 	bound    Bound
 	accounts map[string]*bucket
 }
 
-// NewOwner returns an Owner without accounts.
-func NewOwner(bound Bound) *Owner {
-	return &Owner{bound: bound, accounts: map[string]*bucket{}}
+// NewBuckets returns Buckets without accounts.
+func NewBuckets(bound Bound) *Buckets {
+	return &Buckets{bound: bound, accounts: map[string]*bucket{}}
 }
 
 // Grant decides on a request for credits. It returns false for one that is older than the
 // last of its holder.
-func (o *Owner) Grant(now time.Time, account string, limit Limit, draw Draw) (Grant, bool) {
-	b, ok := o.accounts[account]
+func (s *Buckets) Grant(now time.Time, account string, limit Limit, draw Draw) (Grant, bool) {
+	b, ok := s.accounts[account]
 	if !ok {
-		b = newBucket(now, limit, o.bound)
-		o.accounts[account] = b
+		b = newBucket(now, limit, s.bound)
+		s.accounts[account] = b
 	}
 	b.setLimit(now, limit)
 	return b.grant(now, draw)
 }
 
 // Drop forgets an account that another entry owns now.
-func (o *Owner) Drop(account string) {
-	delete(o.accounts, account)
+func (s *Buckets) Drop(account string) {
+	delete(s.accounts, account)
 }
 
 // Tokens returns the number of credits in the bucket of an account and of those that are
 // outstanding, and false if this entry holds no bucket for it.
-func (o *Owner) Tokens(now time.Time, account string) (tokens, outstanding float64, ok bool) {
-	b, ok := o.accounts[account]
+func (s *Buckets) Tokens(now time.Time, account string) (tokens, outstanding float64, ok bool) {
+	b, ok := s.accounts[account]
 	if !ok {
 		return 0, 0, false
 	}
@@ -110,11 +112,14 @@
 
 // holderState is what the owner knows of one holder.
 type holderState struct {
-	number      int64
+	// number is that of its last request, which was received at askedAt.
+	number  int64
+	askedAt time.Time
+	// outstanding is the number of its unspent credits, which end at expiresAt.
 	outstanding int
 	expiresAt   time.Time
-	rate        float64
-	askedAt     time.Time
+	// rate is the number of requests per second at the holder.
+	rate float64
 	// entitled is the number of credits that its share has accumulated.
 	entitled float64
 }
@@ -166,6 +171,8 @@
 	}
 }
 
+// grant decides on a request for credits. It returns false for one that is older than the last
+// of its holder.
 func (b *bucket) grant(now time.Time, draw Draw) (Grant, bool) {
 	h, ok := b.holders[draw.Holder]
 	if !ok {
@@ -288,6 +295,6 @@
 }
 
 // Accounts returns the names of the accounts that have a bucket here, in order.
-func (o *Owner) Accounts() []string {
-	return slices.Sorted(maps.Keys(o.accounts))
+func (s *Buckets) Accounts() []string {
+	return slices.Sorted(maps.Keys(s.accounts))
 }
--- a/core/acct/credit.go
+++ b/core/acct/credit.go
@@ -17,6 +17,8 @@
 	CreditLife = time.Second
 	// needLife is the life of credits that only requests already waiting will spend.
 	needLife = 250 * time.Millisecond
+	// creditProtocol is the first protocol of entries that grant credits.
+	creditProtocol = 1
 	// OwnerCandidates is the number of entries that may own an account. An odd number
 	// needs the fewest votes for a majority.
 	OwnerCandidates = 3
@@ -70,8 +72,8 @@
 // Draw is a holder's request for credits of one account.
 type Draw struct {
 	Holder Run
-	// Number increases with each request of a run for the account. A holder applies no
-	// reply to an earlier request than its last one.
+	// Number increases with each request of a run for the account. A holder applies only
+	// the reply to its last request.
 	Number int64
 	// Left is the number of unspent credits, and Returned that of those that the holder
 	// gives back because it does not expect to spend them.
@@ -106,7 +108,7 @@
 }
 
 // ownerGroups is the number of groups of accounts. The accounts of a group have the same
-// owner, so that a holder asks for the credits of several in one message.
+// candidates and as a rule the same owner, so that a holder asks for the credits of several in one message.
 const ownerGroups = 4
 
 // groupOf returns the key by which the owner of an account is chosen.
@@ -115,12 +117,12 @@
 }
 
 // Candidates returns the entries that may own an account, the preferred one first: the
-// first OwnerCandidates live entries of protocol 1 by rendezvous hash of the account's group.
+// first OwnerCandidates live entries that grant credits by rendezvous hash of the account's group.
 func Candidates(all []magnolialedge.Instance, account string) []magnolialedge.Instance {
 	group := groupOf(account)
 	keys := make([]ownerKey, 0, len(all))
 	for _, in := range all {
-		if in.Protocol >= 1 && !in.Leaving {
+		if in.Protocol >= creditProtocol && !in.Leaving {
 			keys = append(keys, ownerKey{in: in, weight: proc.RendezvousWeight(in, group)})
 		}
 	}
--- a/core/acct/credit_test.go
+++ b/core/acct/credit_test.go
@@ -32,7 +32,7 @@
 
 // Guards against credits for a request that arrives again or after a later one.
 func TestOwnerGrantsARequestOnce(t *testing.T) {
-	o := NewOwner(testBound)
+	o := NewBuckets(testBound)
 	draw := Draw{Holder: Run{Name: "h"}, Number: 2, Need: 1, Want: 1}
 	o.Grant(at(0), testAccount, testLimit, Draw{Holder: Run{Name: "other"}, Number: 1})
 	g, ok := o.Grant(at(1000), testAccount, testLimit, draw)
@@ -48,7 +48,7 @@
 // Guards against a holder that gives back more than it has, and against credits that the
 // owner still counts as spent although they were returned.
 func TestReturnedCreditsAreGrantedAgain(t *testing.T) {
-	o := NewOwner(testBound)
+	o := NewBuckets(testBound)
 	o.Grant(at(0), testAccount, testLimit, Draw{Holder: Run{Name: "h"}, Number: 1})
 	g, _ := o.Grant(at(500), testAccount, testLimit, Draw{Holder: Run{Name: "h"}, Number: 2, Need: 10, Want: 10})
 	require.Equal(t, 10, g.Granted)
@@ -63,7 +63,7 @@
 func TestBucketIsKeptOnlyByAnUninterruptedOwner(t *testing.T) {
 	candidates := []string{"a", "b", "c"}
 	self := Run{Name: "a"}
-	s := NewSeat(at(0), self, testBound)
+	s := NewGranter(at(0), self, testBound)
 	become := func(ms int, isRepeated bool) {
 		s.Draw(at(ms), AccountDraw{Account: testAccount}, testLimit, candidates)
 		s.Count(at(ms), BallotResult{Ballot: Ballot{To: "b", Account: testAccount}, SentAt: at(ms), Reached: true, Voted: true, IsRepeated: isRepeated}, candidates)
@@ -91,7 +91,7 @@
 
 // An owner decides on the requests of 312 holders of one account.
 func BenchmarkGrantTo312Holders(b *testing.B) {
-	o := NewOwner(testBound)
+	o := NewBuckets(testBound)
 	limit := Limit{Rate: 170, Burst: 170}
 	n := 0
 	for b.Loop() {
--- a/core/acct/holder.go
+++ b/core/acct/holder.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// blockTime is the time for which a holder draws credits ahead.
-	blockTime = 300 * time.Millisecond
 	// aheadTime is the time for which the unspent credits must suffice; it covers a round
 	// trip to another region and the interval between two messages.
 	aheadTime = 300 * time.Millisecond
+	// blockTime is the time in addition to aheadTime for which a holder draws credits.
+	blockTime = 300 * time.Millisecond
 	// renewTime is the age from which unspent credits are renewed, at the latest.
 	renewTime = 600 * time.Millisecond
 	// rateTime is the time over which a holder averages the rate of requests.
@@ -22,7 +22,8 @@
 	// aheadRetry is the time between two requests for credits ahead of need if the owner
 	// granted fewer than the holder wants.
 	aheadRetry = 200 * time.Millisecond
-	// deniedRetry is the same if it granted none, as to many holders of a small account.
+	// deniedRetry is that time if the owner granted none, as happens with many holders of an
+	// account with a low limit.
 	deniedRetry = 500 * time.Millisecond
 	// forgetTime is the time without a request after which a holder forgets an account.
 	forgetTime = time.Minute
@@ -38,7 +39,7 @@
 	Refused
 	// Waiting requests need a reply of the owner.
 	Waiting
-	// Unavailable requests have waited for a reply in vain.
+	// Unavailable requests have waited too long for a reply.
 	Unavailable
 )
 
@@ -46,11 +47,11 @@
 // not safe for concurrent use.
 type Holder struct {
 	self     Run
-	accounts map[string]*purse
+	accounts map[string]*accountCredits
 }
 
-// purse holds the credits of one account.
-type purse struct {
+// accountCredits holds the credits of one account.
+type accountCredits struct {
 	left      int
 	expiresAt time.Time
 	// number is that of the last request for credits, isPending is set until it has ended,
@@ -66,170 +67,173 @@
 	aheadAt   time.Time
 	grantedAt time.Time
 	share     float64
+	// rate is the average number of requests per second at requestAt, the time of the last one.
 	rate      float64
 	requestAt time.Time
 }
 
 // NewHolder returns a Holder without credits.
 func NewHolder(self Run) *Holder {
-	return &Holder{self: self, accounts: map[string]*purse{}}
+	return &Holder{self: self, accounts: map[string]*accountCredits{}}
 }
 
 // Take decides on a request. For a Refused one it returns the time after which there may
 // be credits. A Waiting one counts until Resume or Abandon.
 func (h *Holder) Take(now time.Time, account string) (Verdict, time.Duration) {
-	p, ok := h.accounts[account]
+	c, ok := h.accounts[account]
 	if !ok {
-		p = &purse{requestAt: now.Add(-rateTime)}
-		h.accounts[account] = p
+		c = &accountCredits{requestAt: now.Add(-rateTime)}
+		h.accounts[account] = c
 	}
-	p.countRequest(now)
-	p.waiting++
-	return p.resume(now)
+	c.countRequest(now)
+	c.waiting++
+	return c.resume(now)
 }
 
 // Resume decides again on a request that waits.
 func (h *Holder) Resume(now time.Time, account string) (Verdict, time.Duration) {
-	p, ok := h.accounts[account]
+	c, ok := h.accounts[account]
 	if !ok {
 		return Waiting, 0
 	}
-	return p.resume(now)
+	return c.resume(now)
 }
 
 // Abandon records that a request no longer waits.
 func (h *Holder) Abandon(account string) {
-	if p, ok := h.accounts[account]; ok {
-		p.waiting--
+	if c, ok := h.accounts[account]; ok {
+		c.waiting--
 	}
 }
 
-func (p *purse) resume(now time.Time) (Verdict, time.Duration) {
-	if p.left > 0 && now.Before(p.expiresAt) {
-		p.left--
-		p.spent++
-		p.waiting--
+// resume decides on a request that counts as waiting.
+func (c *accountCredits) resume(now time.Time) (Verdict, time.Duration) {
+	if c.left > 0 && now.Before(c.expiresAt) {
+		c.left--
+		c.spent++
+		c.waiting--
 		return Admitted, 0
 	}
-	p.left = 0
-	if until := p.exhaustedUntil.Sub(now); until > 0 {
-		p.waiting--
+	c.left = 0
+	if until := c.exhaustedUntil.Sub(now); until > 0 {
+		c.waiting--
 		return Refused, until
 	}
 	return Waiting, 0
 }
 
 // countRequest adds a request to the average rate.
-func (p *purse) countRequest(now time.Time) {
-	p.rate = p.rateAt(now) + 1/rateTime.Seconds()
-	p.requestAt = now
+func (c *accountCredits) countRequest(now time.Time) {
+	c.rate = c.rateAt(now) + 1/rateTime.Seconds()
+	c.requestAt = now
 }
 
-func (p *purse) rateAt(now time.Time) float64 {
-	return p.rate * math.Exp(-now.Sub(p.requestAt).Seconds()/rateTime.Seconds())
+// rateAt returns the average number of requests per second at now.
+func (c *accountCredits) rateAt(now time.Time) float64 {
+	return c.rate * math.Exp(-now.Sub(c.requestAt).Seconds()/rateTime.Seconds())
 }
 
 // IsDue reports whether the holder should ask the owner for credits: while requests wait,
 // and ahead of need while requests arrive.
 func (h *Holder) IsDue(now time.Time, account string) bool {
-	p, ok := h.accounts[account]
+	c, ok := h.accounts[account]
 	switch {
-	case !ok || p.isPending:
+	case !ok || c.isPending:
 		return false
-	case p.waiting > 0:
+	case c.waiting > 0:
 		return true
-	case p.left > 0 && now.Before(p.expiresAt):
-		age := now.Sub(p.sentAt)
-		hasSurplus := p.left > p.target(now) && age >= minAskInterval
+	case c.left > 0 && now.Before(c.expiresAt):
+		age := now.Sub(c.sentAt)
+		hasSurplus := c.left > c.target(now) && age >= minAskInterval
 		if hasSurplus || age >= renewTime {
 			return true
 		}
 	}
-	isActive := !now.Before(p.exhaustedUntil) && now.Sub(p.requestAt) <= idleTime
-	return isActive && !now.Before(p.aheadAt) && p.isLow(now)
+	isActive := !now.Before(c.exhaustedUntil) && now.Sub(c.requestAt) <= idleTime
+	return isActive && !now.Before(c.aheadAt) && c.isLow(now)
 }
 
 // HasWaiting reports whether requests of the account wait for a reply.
 func (h *Holder) HasWaiting(account string) bool {
-	p, ok := h.accounts[account]
-	return ok && p.waiting > 0
+	c, ok := h.accounts[account]
+	return ok && c.waiting > 0
 }
 
 // isLow reports whether the unspent credits do not suffice for aheadTime.
-func (p *purse) isLow(now time.Time) bool {
-	return p.left < p.target(now) && p.left <= int(p.rateAt(now)*aheadTime.Seconds())
+func (c *accountCredits) isLow(now time.Time) bool {
+	return c.left < c.target(now) && c.left <= int(c.rateAt(now)*aheadTime.Seconds())
 }
 
 // target returns the number of unspent credits that the holder wants to have.
-func (p *purse) target(now time.Time) int {
+func (c *accountCredits) target(now time.Time) int {
 	switch {
-	case now.Sub(p.requestAt) > idleTime:
+	case now.Sub(c.requestAt) > idleTime:
 		return 0
-	case p.share > 0:
-		return int(min(p.share, p.rateAt(now)) * aheadScarce.Seconds())
+	case c.share > 0:
+		return int(min(c.share, c.rateAt(now)) * aheadScarce.Seconds())
 	}
-	return 1 + int(math.Round(p.rateAt(now)*(aheadTime+blockTime).Seconds()))
+	return 1 + int(math.Round(c.rateAt(now)*(aheadTime+blockTime).Seconds()))
 }
 
 // Draw begins a request for credits of an account.
 func (h *Holder) Draw(now time.Time, account string) Draw {
-	p := h.accounts[account]
-	if !now.Before(p.expiresAt) {
-		p.left = 0
+	c := h.accounts[account]
+	if !now.Before(c.expiresAt) {
+		c.left = 0
 	}
-	returned := max(0, p.left-p.waiting-p.target(now))
-	p.left -= returned
-	p.number++
-	p.isPending, p.sentAt, p.spent = true, now, 0
+	returned := max(0, c.left-c.waiting-c.target(now))
+	c.left -= returned
+	c.number++
+	c.isPending, c.sentAt, c.spent = true, now, 0
 	return Draw{
 		Holder: h.self,
-		Number: p.number,
-		Left:   p.left,
+		Number: c.number,
+		Left:   c.left,
 
 		Returned: returned,
-		Need:     p.waiting,
-		Want:     p.waiting + max(0, p.target(now)-p.left),
-		Rate:     p.rateAt(now),
+		Need:     c.waiting,
+		Want:     c.waiting + max(0, c.target(now)-c.left),
+		Rate:     c.rateAt(now),
 	}
 }
 
 // Apply applies the reply to the request with the given number. A reply to a request that
 // has ended is ignored.
 func (h *Holder) Apply(now time.Time, account string, number int64, g Grant) bool {
-	p, ok := h.accounts[account]
-	if !ok || !p.isPending || p.number != number {
+	c, ok := h.accounts[account]
+	if !ok || !c.isPending || c.number != number {
 		return false
 	}
-	p.isPending = false
-	p.left = min(p.left, max(0, g.Kept-p.spent)) + g.Granted
-	p.expiresAt = p.sentAt.Add(g.Valid)
-	p.share = g.Share
+	c.isPending = false
+	c.left = min(c.left, max(0, g.Kept-c.spent)) + g.Granted
+	c.expiresAt = c.sentAt.Add(g.Valid)
+	c.share = g.Share
 	if g.Granted > 0 {
-		p.grantedAt = now
+		c.grantedAt = now
 	}
-	if p.left < p.waiting+p.target(now) {
-		p.aheadAt = now.Add(aheadRetry)
+	if c.left < c.waiting+c.target(now) {
+		c.aheadAt = now.Add(aheadRetry)
 		if g.Granted == 0 {
-			p.aheadAt = now.Add(deniedRetry)
+			c.aheadAt = now.Add(deniedRetry)
 		}
 	}
 	if g.Exhausted > 0 {
-		p.exhaustedUntil = now.Add(g.Exhausted)
+		c.exhaustedUntil = now.Add(g.Exhausted)
 	}
 	return true
 }
 
 // Fail records that the request with the given number has ended without a reply.
 func (h *Holder) Fail(account string, number int64) {
-	if p, ok := h.accounts[account]; ok && p.number == number {
-		p.isPending = false
+	if c, ok := h.accounts[account]; ok && c.number == number {
+		c.isPending = false
 	}
 }
 
 // Forget drops the accounts without requests for a long time.
 func (h *Holder) Forget(now time.Time) {
-	maps.DeleteFunc(h.accounts, func(_ string, p *purse) bool {
-		return p.waiting == 0 && !p.isPending && now.Sub(p.requestAt) > forgetTime
+	maps.DeleteFunc(h.accounts, func(_ string, c *accountCredits) bool {
+		return c.waiting == 0 && !c.isPending && now.Sub(c.requestAt) > forgetTime
 	})
 }
 
@@ -251,15 +255,15 @@
 
 // Standing returns the credits of an account.
 func (h *Holder) Standing(now time.Time, account string) Standing {
-	p, ok := h.accounts[account]
+	c, ok := h.accounts[account]
 	if !ok {
 		return Standing{GrantAge: -1}
 	}
-	s := Standing{Left: p.left, Share: p.share, Rate: p.rateAt(now), GrantAge: -1}
-	if !p.grantedAt.IsZero() {
-		s.GrantAge = now.Sub(p.grantedAt)
+	s := Standing{Left: c.left, Share: c.share, Rate: c.rateAt(now), GrantAge: -1}
+	if !c.grantedAt.IsZero() {
+		s.GrantAge = now.Sub(c.grantedAt)
 	}
-	if !now.Before(p.expiresAt) {
+	if !now.Before(c.expiresAt) {
 		s.Left = 0
 	}
 	return s
--- a/core/acct/keyset.go
+++ b/core/acct/keyset.go
@@ -9,8 +9,8 @@
 
 // keySet holds the hashes of the keys that one account lists.
 type keySet struct {
-	// digest is the hash of the whole list. It shows that a list is unchanged, which costs
-	// a fifth of the hashes of its keys.
+	// digest is the hash of the whole list. It shows that a list is unchanged without
+	// hashing each of its keys.
 	digest Hash
 	hashes []Hash
 }
--- a/core/acct/tenure.go
+++ b/core/acct/quorum.go
@@ -16,10 +16,10 @@
 	until     time.Time
 }
 
-// Tenure decides which of an account's candidates is the owner: the one with the votes
-// of a majority. An entry gives one vote for an account at a time, so that there are
+// Quorum holds the votes that this entry has given and received. The owner of an account is
+// the candidate with the votes of a majority of its candidates. An entry gives one vote for an account at a time, so that there are
 // never two owners among the same candidates. It is not safe for concurrent use.
-type Tenure struct {
+type Quorum struct {
 	self Run
 	// silentUntil is when this run begins to vote. An earlier run of the entry may have
 	// given votes that still count.
@@ -29,30 +29,30 @@
 	received map[string]map[string]time.Time
 }
 
-// NewTenure returns the Tenure of a run that starts at now.
-func NewTenure(now time.Time, self Run) *Tenure {
-	return &Tenure{self: self, silentUntil: now.Add(VoteLife), given: map[string]vote{}, received: map[string]map[string]time.Time{}}
+// NewQuorum returns the Quorum of a run that starts at now.
+func NewQuorum(now time.Time, self Run) *Quorum {
+	return &Quorum{self: self, silentUntil: now.Add(VoteLife), given: map[string]vote{}, received: map[string]map[string]time.Time{}}
 }
 
 // Vote gives this entry's vote for an account to a candidate until VoteLife has passed,
 // and reports whether it did. candidates are the names of the candidates, the preferred
 // one first. This entry gives up the account for a preferred candidate. isRepeated is true
 // if the last vote of this entry was for the same run.
-func (t *Tenure) Vote(now time.Time, account string, candidate Run, candidates []string) (isGiven, isRepeated bool) {
+func (q *Quorum) Vote(now time.Time, account string, candidate Run, candidates []string) (isGiven, isRepeated bool) {
 	rank := slices.Index(candidates, candidate.Name)
-	if rank < 0 || now.Before(t.silentUntil) {
+	if rank < 0 || now.Before(q.silentUntil) {
 		return false, false
 	}
-	current, ok := t.given[account]
+	current, ok := q.given[account]
 	isFree := !ok || !now.Before(current.until) || current.candidate == candidate || current.isEarlierRunOf(candidate)
-	givesWay := ok && current.candidate == t.self && rank < slices.Index(candidates, t.self.Name)
+	givesWay := ok && current.candidate == q.self && rank < slices.Index(candidates, q.self.Name)
 	if !isFree && !givesWay {
 		return false, false
 	}
-	if candidate != t.self {
-		delete(t.received, account)
+	if candidate != q.self {
+		delete(q.received, account)
 	}
-	t.given[account] = vote{candidate: candidate, until: now.Add(VoteLife)}
+	q.given[account] = vote{candidate: candidate, until: now.Add(VoteLife)}
 	return true, current.candidate == candidate
 }
 
@@ -63,59 +63,60 @@
 
 // Record records the vote of another entry for this one, which asked for it at askedAt.
 // A vote that arrives after this entry gave way is not counted.
-func (t *Tenure) Record(askedAt time.Time, account, voter string) {
-	if own, ok := t.given[account]; voter != t.self.Name && (!ok || own.candidate != t.self) {
+func (q *Quorum) Record(askedAt time.Time, account, voter string) {
+	if own, ok := q.given[account]; voter != q.self.Name && (!ok || own.candidate != q.self) {
 		return
 	}
-	if t.received[account] == nil {
-		t.received[account] = map[string]time.Time{}
+	if q.received[account] == nil {
+		q.received[account] = map[string]time.Time{}
 	}
-	t.received[account][voter] = askedAt.Add(VoteLife)
+	q.received[account][voter] = askedAt.Add(VoteLife)
 }
 
 // IsOwner reports whether this entry has the votes of a majority of the candidates.
-func (t *Tenure) IsOwner(now time.Time, account string, candidates []string) bool {
-	return t.Remaining(now, account, candidates) > 0
+func (q *Quorum) IsOwner(now time.Time, account string, candidates []string) bool {
+	return q.Remaining(now, account, candidates) > 0
 }
 
 // Remaining returns the time for which this entry is the owner unless it receives
 // further votes, or 0 if it is not.
-func (t *Tenure) Remaining(now time.Time, account string, candidates []string) time.Duration {
+func (q *Quorum) Remaining(now time.Time, account string, candidates []string) time.Duration {
 	if len(candidates) == 0 {
 		return 0
 	}
 	votes := make([]time.Duration, 0, OwnerCandidates)
 	for _, name := range candidates {
-		if left := t.received[account][name].Sub(now); left > 0 {
+		if left := q.received[account][name].Sub(now); left > 0 {
 			votes = append(votes, left)
 		}
 	}
 	return majorityEnd(votes, len(candidates)/2+1)
 }
 
-// majorityEnd returns when fewer than needed of the votes are left.
+// majorityEnd returns the time until fewer than needed of the votes are left. votes holds
+// the remaining time of each.
 func majorityEnd(votes []time.Duration, needed int) time.Duration {
 	if len(votes) < needed {
 		return 0
 	}
 	end := time.Duration(0)
-	for _, candidate := range votes {
+	for _, left := range votes {
 		n := 0
 		for _, v := range votes {
-			if v >= candidate {
+			if v >= left {
 				n++
 			}
 		}
 		if n >= needed {
-			end = max(end, candidate)
+			end = max(end, left)
 		}
 	}
 	return end
 }
 
 // Forget withdraws the votes for a run that has certainly ended.
-func (t *Tenure) Forget(ended Run) {
-	maps.DeleteFunc(t.given, func(_ string, v vote) bool {
+func (q *Quorum) Forget(ended Run) {
+	maps.DeleteFunc(q.given, func(_ string, v vote) bool {
 		return v.candidate.Name == ended.Name && v.candidate.StartedAt <= ended.StartedAt
 	})
 }
--- a/core/acct/quota_test.go
+++ b/core/acct/quota_test.go
@@ -239,11 +239,11 @@
 		s.runFor(settleTime + 5*time.Second)
 		s.resetCounts()
 		owner := s.ownerEntry()
-		owner.seat.Resign()
+		owner.granter.Resign()
 		owner.Leaving, s.names = true, nil
 		for _, e := range s.entries {
 			s.after(time.Duration(s.rng.IntN(50))*time.Millisecond, func() {
-				e.seat.Forget(Run{Name: owner.Name, StartedAt: owner.StartedAt})
+				e.granter.Forget(Run{Name: owner.Name, StartedAt: owner.StartedAt})
 			})
 		}
 		s.runFor(3 * time.Second)
@@ -297,6 +297,6 @@
 		requireBound(t, s)
 		require.GreaterOrEqual(t, float64(s.admittedCount()), 0.9*float64(s.central))
 		s.runFor(time.Second)
-		require.True(t, first.seat.tenure.IsOwner(s.now, testAccount, s.viewOf(first)(testAccount)))
+		require.True(t, first.granter.quorum.IsOwner(s.now, testAccount, s.viewOf(first)(testAccount)))
 	}
 }
--- a/core/acct/asker.go
+++ b/core/acct/scheduler.go
@@ -12,19 +12,24 @@
 	// minAskInterval is the shortest time between two messages to an owner, unless a
 	// request waits.
 	minAskInterval = 100 * time.Millisecond
-	// minWaitingInterval is the same while requests wait.
+	// minWaitingInterval is the shortest time between two messages to an owner while
+	// requests wait.
 	minWaitingInterval = 10 * time.Millisecond
 	// avoidTime is how long a holder asks other candidates after an owner did not reply.
 	avoidTime = time.Second
-	// declineTime is how long it does so for an account after a candidate declined, and
-	// pendingTime how long it waits for one that is about to become the owner.
+	// declineTime is how long a holder asks other candidates for an account after a
+	// candidate declined.
 	declineTime = 100 * time.Millisecond
+	// pendingTime is how long a holder does not ask for an account after a candidate replied
+	// that it is about to become the owner.
 	pendingTime = 15 * time.Millisecond
 	// maxInFlight limits the messages on their way to one owner. More than one are sent only
 	// if requests wait.
 	maxInFlight = 4
 	// maxAccountsPerMessage keeps messages within 4 KiB.
 	maxAccountsPerMessage = 24
+	// maxRemembered limits the remembered replies, most of which have expired.
+	maxRemembered = 1024
 )
 
 // Status tells whether an entry that was asked for credits is the owner.
@@ -51,55 +56,58 @@
 	Status Status
 }
 
-// Message is what a holder asks one entry for.
+// Message holds the requests for credits that a holder sends to one entry.
 type Message struct {
 	Owner string
 	Draws []AccountDraw
 }
 
-// Asker decides when a Holder asks which entry for credits. It is not safe for concurrent
-// use.
-type Asker struct {
+// DrawScheduler decides when a Holder sends a request for credits, and to which entry. It is
+// not safe for concurrent use.
+type DrawScheduler struct {
 	holder *Holder
-	peers  map[string]*askedPeer
+	peers  map[string]*peerState
 	// declinedUntil holds the times until which an account is not asked for at an entry,
 	// and pendingUntil those until which it is not asked for anywhere.
 	declinedUntil map[accountAt]time.Time
 	pendingUntil  map[string]time.Time
 }
 
-type askedPeer struct {
+// peerState is what is known of an entry that was asked for credits.
+type peerState struct {
+	// inFlight is the number of messages without a reply, and sentAt the time of the last one.
 	inFlight   int
 	sentAt     time.Time
 	avoidUntil time.Time
 }
 
+// accountAt identifies an account at one entry.
 type accountAt struct {
 	account string
 	entry   string
 }
 
-// NewAsker returns an Asker for a Holder.
-func NewAsker(h *Holder) *Asker {
-	return &Asker{holder: h, peers: map[string]*askedPeer{}, declinedUntil: map[accountAt]time.Time{}, pendingUntil: map[string]time.Time{}}
+// NewDrawScheduler returns a DrawScheduler for a Holder.
+func NewDrawScheduler(h *Holder) *DrawScheduler {
+	return &DrawScheduler{holder: h, peers: map[string]*peerState{}, declinedUntil: map[accountAt]time.Time{}, pendingUntil: map[string]time.Time{}}
 }
 
 // Messages begins the requests that are due. candidates returns the names of the entries
 // that may own an account, the preferred one first.
-func (a *Asker) Messages(now time.Time, candidates func(account string) []string) []Message {
+func (s *DrawScheduler) Messages(now time.Time, candidates func(account string) []string) []Message {
 	byOwner := map[string][]string{}
-	for account := range a.holder.accounts {
-		if !a.holder.IsDue(now, account) {
+	for account := range s.holder.accounts {
+		if !s.holder.IsDue(now, account) {
 			continue
 		}
-		if owner, ok := a.ownerOf(now, account, candidates(account)); ok {
+		if owner, ok := s.ownerOf(now, account, candidates(account)); ok {
 			byOwner[owner] = append(byOwner[owner], account)
 		}
 	}
 	var out []Message
 	for owner, accounts := range byOwner {
-		if a.maySend(now, owner, accounts) {
-			out = append(out, a.begin(now, owner, accounts))
+		if s.maySend(now, owner, accounts) {
+			out = append(out, s.begin(now, owner, accounts))
 		}
 	}
 	return out
@@ -108,16 +116,16 @@
 // ownerOf returns the first candidate that replies and has not declined, or else the first
 // that has not declined. It returns false if there is none or if one is about to become
 // the owner.
-func (a *Asker) ownerOf(now time.Time, account string, candidates []string) (string, bool) {
-	if now.Before(a.pendingUntil[account]) {
+func (s *DrawScheduler) ownerOf(now time.Time, account string, candidates []string) (string, bool) {
+	if now.Before(s.pendingUntil[account]) {
 		return "", false
 	}
 	first := ""
 	for _, name := range candidates {
-		if now.Before(a.declinedUntil[accountAt{account, name}]) {
+		if now.Before(s.declinedUntil[accountAt{account, name}]) {
 			continue
 		}
-		if p := a.peers[name]; p == nil || !now.Before(p.avoidUntil) {
+		if p := s.peers[name]; p == nil || !now.Before(p.avoidUntil) {
 			return name, true
 		}
 		if first == "" {
@@ -127,69 +135,67 @@
 	return first, first != ""
 }
 
-func (a *Asker) maySend(now time.Time, owner string, accounts []string) bool {
-	p := a.peers[owner]
+// maySend reports whether a message about the accounts may be sent to an owner now.
+func (s *DrawScheduler) maySend(now time.Time, owner string, accounts []string) bool {
+	p := s.peers[owner]
 	switch {
 	case p == nil:
 		return true
 	case p.inFlight >= maxInFlight:
 		return false
-	case slices.ContainsFunc(accounts, a.holder.HasWaiting):
+	case slices.ContainsFunc(accounts, s.holder.HasWaiting):
 		return now.Sub(p.sentAt) >= minWaitingInterval
 	}
 	return p.inFlight == 0 && now.Sub(p.sentAt) >= minAskInterval
 }
 
 // begin begins a request for some accounts, those for which requests wait first.
-func (a *Asker) begin(now time.Time, owner string, accounts []string) Message {
-	p := a.peers[owner]
+func (s *DrawScheduler) begin(now time.Time, owner string, accounts []string) Message {
+	p := s.peers[owner]
 	if p == nil {
-		p = &askedPeer{}
-		a.peers[owner] = p
+		p = &peerState{}
+		s.peers[owner] = p
 	}
 	p.sentAt = now
 	p.inFlight++
 	slices.SortFunc(accounts, func(x, y string) int {
-		return a.holder.accounts[y].waiting - a.holder.accounts[x].waiting
+		return s.holder.accounts[y].waiting - s.holder.accounts[x].waiting
 	})
 	m := Message{Owner: owner}
 	for _, account := range accounts[:min(len(accounts), maxAccountsPerMessage)] {
-		m.Draws = append(m.Draws, AccountDraw{Draw: a.holder.Draw(now, account), Account: account})
+		m.Draws = append(m.Draws, AccountDraw{Draw: s.holder.Draw(now, account), Account: account})
 	}
 	return m
 }
 
 // Done applies the replies to a message by account. Accounts without a reply have failed.
-func (a *Asker) Done(now time.Time, m Message, replies map[string]Reply) {
-	a.peers[m.Owner].inFlight--
+func (s *DrawScheduler) Done(now time.Time, m Message, replies map[string]Reply) {
+	s.peers[m.Owner].inFlight--
 	for _, d := range m.Draws {
 		reply, ok := replies[d.Account]
 		if ok && reply.Status == Granted {
-			a.holder.Apply(now, d.Account, d.Number, reply.Grant)
+			s.holder.Apply(now, d.Account, d.Number, reply.Grant)
 			continue
 		}
-		a.holder.Fail(d.Account, d.Number)
+		s.holder.Fail(d.Account, d.Number)
 		if reply.Status == Pending {
-			a.pendingUntil[d.Account] = now.Add(pendingTime)
+			s.pendingUntil[d.Account] = now.Add(pendingTime)
 		} else {
-			a.declinedUntil[accountAt{d.Account, m.Owner}] = now.Add(declineTime)
+			s.declinedUntil[accountAt{d.Account, m.Owner}] = now.Add(declineTime)
 		}
 	}
-	if len(a.declinedUntil)+len(a.pendingUntil) > maxRemembered {
-		clear(a.declinedUntil)
-		clear(a.pendingUntil)
+	if len(s.declinedUntil)+len(s.pendingUntil) > maxRemembered {
+		clear(s.declinedUntil)
+		clear(s.pendingUntil)
 	}
 }
 
-// maxRemembered limits the remembered replies; most of them have expired.
-const maxRemembered = 1024
-
 // Failed records that a message has ended without a reply.
-func (a *Asker) Failed(now time.Time, m Message) {
-	p := a.peers[m.Owner]
+func (s *DrawScheduler) Failed(now time.Time, m Message) {
+	p := s.peers[m.Owner]
 	p.inFlight--
 	p.avoidUntil = now.Add(avoidTime)
 	for _, d := range m.Draws {
-		a.holder.Fail(d.Account, d.Number)
+		s.holder.Fail(d.Account, d.Number)
 	}
 }
--- a/core/acct/sim_test.go
+++ b/core/acct/sim_test.go
@@ -35,10 +35,10 @@
 // simEntry is one entry of a simulation.
 type simEntry struct {
 	magnolialedge.Instance
-	index  int
-	holder *Holder
-	asker  *Asker
-	seat   *Seat
+	index     int
+	holder    *Holder
+	scheduler *DrawScheduler
+	granter   *Granter
 	// waiters holds the times at which waiting requests arrived.
 	waiters     []time.Time
 	dead        bool
@@ -125,8 +125,8 @@
 	run := Run{Name: e.Name, StartedAt: e.StartedAt}
 	e.dead, e.waiters = false, nil
 	e.holder = NewHolder(run)
-	e.asker = NewAsker(e.holder)
-	e.seat = NewSeat(s.now, run, s.bound)
+	e.scheduler = NewDrawScheduler(e.holder)
+	e.granter = NewGranter(s.now, run, s.bound)
 	s.tick(e, run)
 }
 
@@ -137,7 +137,7 @@
 			return
 		}
 		s.whenRunning(e, func() {
-			s.sendBallots(e, e.seat.Renew(s.now, s.viewOf(e)))
+			s.sendBallots(e, e.granter.Renew(s.now, s.viewOf(e)))
 			s.ask(e)
 		})
 		s.tick(e, run)
@@ -313,7 +313,7 @@
 	if e.dead || e.pausedUntil.After(s.now) {
 		return
 	}
-	for _, m := range e.asker.Messages(s.now, s.viewOf(e)) {
+	for _, m := range e.scheduler.Messages(s.now, s.viewOf(e)) {
 		s.sendDraws(e, s.find(m.Owner), m)
 	}
 	if e.holder.IsDue(s.now, testAccount) && len(e.waiters) > 0 {
@@ -322,7 +322,7 @@
 }
 
 func (s *sim) sendDraws(e, owner *simEntry, m Message) {
-	run, asker, ended := e.StartedAt, e.asker, false
+	run, scheduler, ended := e.StartedAt, e.scheduler, false
 	timeout := AskTimeout
 	if owner.dead {
 		timeout = 2 * s.delay(e, owner)
@@ -331,7 +331,7 @@
 		s.whenRunning(e, func() {
 			if !ended {
 				ended = true
-				asker.Failed(s.now, m)
+				scheduler.Failed(s.now, m)
 				s.ask(e)
 			}
 		})
@@ -339,7 +339,7 @@
 	s.deliver(e, owner, func() {
 		replies := map[string]Reply{}
 		for _, d := range m.Draws {
-			reply, ballots := owner.seat.Draw(s.now, d, s.limit, s.viewOf(owner)(d.Account))
+			reply, ballots := owner.granter.Draw(s.now, d, s.limit, s.viewOf(owner)(d.Account))
 			replies[d.Account] = reply
 			s.sendBallots(owner, ballots)
 		}
@@ -352,7 +352,7 @@
 				return
 			}
 			ended = true
-			asker.Done(s.now, m, replies)
+			scheduler.Done(s.now, m, replies)
 			s.countOutstanding()
 			s.wake(e)
 			s.ask(e)
@@ -387,11 +387,11 @@
 			}
 			ended = true
 			r.Ballot, r.SentAt = b, sentAt
-			s.sendBallots(e, e.seat.Count(s.now, r, s.viewOf(e)(b.Account)))
+			s.sendBallots(e, e.granter.Count(s.now, r, s.viewOf(e)(b.Account)))
 		}
 		s.after(100*time.Millisecond, func() { s.whenRunning(e, func() { count(BallotResult{}) }) })
 		s.deliver(e, to, func() {
-			isGiven, isRepeated := to.seat.Vote(s.now, b, s.viewOf(to)(b.Account))
+			isGiven, isRepeated := to.granter.Vote(s.now, b, s.viewOf(to)(b.Account))
 			s.deliver(to, e, func() { count(BallotResult{Reached: true, Voted: isGiven, IsRepeated: isRepeated}) })
 		})
 	}
--- a/io/node/credit_dump.go
+++ b/io/node/credit_dump.go
@@ -38,7 +38,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	buckets := map[string]*bucketDump{}
-	for _, o := range c.seat.Owned(now) {
+	for _, o := range c.granter.Owned(now) {
 		buckets[o.Account] = &bucketDump{Tokens: o.Tokens, Outstanding: o.Outstanding}
 	}
 	out := []accountDump{}
@@ -73,7 +73,7 @@
 func (c *credits) ownedCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.seat.Owned(time.Now()))
+	return len(c.granter.Owned(time.Now()))
 }
 
 func (c *credits) unspent(now time.Time) int {
--- a/io/node/credits.go
+++ b/io/node/credits.go
@@ -61,12 +61,12 @@
 	wake    chan struct{}
 
 	// mu guards the fields below. It is never held during I/O.
-	mu      sync.Mutex
-	holder  *acct.Holder
-	asker   *acct.Asker
-	seat    *acct.Seat
-	version int64
-	limits  map[string]acct.Limit
+	mu        sync.Mutex
+	holder    *acct.Holder
+	scheduler *acct.DrawScheduler
+	granter   *acct.Granter
+	version   int64
+	limits    map[string]acct.Limit
 	// replied holds a channel for each account with waiting requests, which is closed at
 	// the next reply, and waiting is their number.
 	replied map[string]chan struct{}
@@ -86,8 +86,8 @@
 		self: self, members: members, peers: peers, log: log, metrics: metrics,
 		wake:              make(chan struct{}, 1),
 		holder:            h,
-		asker:             acct.NewAsker(h),
-		seat:              acct.NewSeat(now, self, bound),
+		scheduler:         acct.NewDrawScheduler(h),
+		granter:           acct.NewGranter(now, self, bound),
 		limits:            map[string]acct.Limit{},
 		replied:           map[string]chan struct{}{},
 		candidates:        map[string][]string{},
@@ -137,8 +137,8 @@
 		return idleTick
 	}
 	c.refreshCandidates(now)
-	c.sendBallots(c.seat.Renew(now, c.candidatesOf))
-	for _, m := range c.asker.Messages(now, c.candidatesOf) {
+	c.sendBallots(c.granter.Renew(now, c.candidatesOf))
+	for _, m := range c.scheduler.Messages(now, c.candidatesOf) {
 		c.send(now, m)
 	}
 	c.holder.Forget(now)
@@ -159,7 +159,7 @@
 	for _, in := range c.members() {
 		c.instances[in.Name] = in
 		if in.Leaving {
-			c.seat.Forget(acct.Run{Name: in.Name, StartedAt: in.StartedAt})
+			c.granter.Forget(acct.Run{Name: in.Name, StartedAt: in.StartedAt})
 		}
 	}
 }
@@ -195,7 +195,7 @@
 		defer c.mu.Unlock()
 		if err != nil {
 			c.recordLost(to, err)
-			c.asker.Failed(time.Now(), m)
+			c.scheduler.Failed(time.Now(), m)
 			c.signal()
 			return
 		}
@@ -208,13 +208,13 @@
 func (c *credits) recordLost(to magnolialedge.Instance, err error) {
 	c.metrics.messages.WithLabelValues("lost").Inc()
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		c.seat.Forget(acct.Run{Name: to.Name, StartedAt: to.StartedAt})
+		c.granter.Forget(acct.Run{Name: to.Name, StartedAt: to.StartedAt})
 	}
 }
 
 // finish applies the replies to a message and wakes the requests that wait.
 func (c *credits) finish(now time.Time, m acct.Message, replies map[string]acct.Reply) {
-	c.asker.Done(now, m, replies)
+	c.scheduler.Done(now, m, replies)
 	for _, d := range m.Draws {
 		if r, ok := replies[d.Account]; ok && r.Status == acct.Granted {
 			c.recordOwner(d.Account, m.Owner)
@@ -245,7 +245,7 @@
 func (c *credits) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seat.Resign()
+	c.granter.Resign()
 }
 
 // signal makes run tick soon.
@@ -267,7 +267,7 @@
 			replies[d.Account] = replyWithoutLimit(d, version, c.version)
 			continue
 		}
-		reply, ballots := c.seat.Draw(now, d, limit, c.candidatesOf(d.Account))
+		reply, ballots := c.granter.Draw(now, d, limit, c.candidatesOf(d.Account))
 		replies[d.Account] = reply
 		c.sendBallots(ballots)
 	}
@@ -308,7 +308,7 @@
 	for _, b := range ballots {
 		r := results[b.Account]
 		r.Ballot, r.SentAt, r.Reached = b, sentAt, err == nil
-		c.sendBallots(c.seat.Count(now, r, c.candidatesOf(b.Account)))
+		c.sendBallots(c.granter.Count(now, r, c.candidatesOf(b.Account)))
 	}
 	c.signal()
 }
@@ -327,7 +327,7 @@
 	c.refreshCandidates(now)
 	results := make([]acct.BallotResult, 0, len(ballots))
 	for _, b := range ballots {
-		isGiven, isRepeated := c.seat.Vote(now, b, c.candidatesOf(b.Account))
+		isGiven, isRepeated := c.granter.Vote(now, b, c.candidatesOf(b.Account))
 		results = append(results, acct.BallotResult{Ballot: b, Voted: isGiven, IsRepeated: isRepeated})
 	}
 	return results
