Name the decisions on cold limits and scarce capacity by what they do

SteeredKeepers, WakeStranded, admit.Returns and admit.Attempt did not say what they are, and attempt means something else in the glossary. They are now ColdLimitSharers, WakeUnservable, ReturnSchedule and admit.Request; the place of a waiter in the queue is a position, since rank means priority. IsAuthExempt no longer repeats the search of Route.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -38,8 +38,8 @@
 	MoreUrgent float64 `json:"moreUrgentPerS"`
 }
 
-// Attempt describes a request for which no upstream has a free slot.
-type Attempt struct {
+// Request describes a request for which no upstream has a free slot.
+type Request struct {
 	Rank Rank
 	// Ahead is the number of waiting requests that are served first.
 	Ahead int
@@ -70,25 +70,25 @@
 }
 
 // Admits reports whether a request may wait.
-func (g *Gate) Admits(now time.Time, a Attempt) bool {
-	if !g.MayRefuse(now, a.Rank) {
+func (g *Gate) Admits(now time.Time, r Request) bool {
+	if !g.MayRefuse(now, r.Rank) {
 		return true
 	}
-	capacity, moreUrgent := g.capacity(now), g.MoreUrgentRate(now, a.Rank)
+	capacity, moreUrgent := g.capacity(now), g.MoreUrgentRate(now, r.Rank)
 	left := capacity - moreUrgent
-	if left > 0 && float64(a.Ahead+1)/left <= a.MaxWait.Seconds() {
+	if left > 0 && float64(r.Ahead+1)/left <= r.MaxWait.Seconds() {
 		return true
 	}
 	g.refusedAt = now
-	if !g.level.IsRefusing || a.Rank.Compare(g.level.Rank) < 0 {
-		g.level = Level{IsRefusing: true, Rank: a.Rank, Capacity: capacity, MoreUrgent: moreUrgent}
+	if !g.level.IsRefusing || r.Rank.Compare(g.level.Rank) < 0 {
+		g.level = Level{IsRefusing: true, Rank: r.Rank, Capacity: capacity, MoreUrgent: moreUrgent}
 	}
 	return false
 }
 
 // capacity returns the requests a second that this entry can send. While requests wait,
-// it is at least what was sent since they do, because the moving average follows a rise
-// late.
+// it is at least the rate at which requests were sent since the first of them began to wait,
+// because the moving average rises with a delay.
 func (g *Gate) capacity(now time.Time) float64 {
 	average := g.starts.at(now)
 	short := now.Sub(g.shortSince)
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -29,8 +29,8 @@
 	return g
 }
 
-func less(ahead int) Attempt {
-	return Attempt{Rank: Rank{Route: 1}, Ahead: ahead, MaxWait: 250 * time.Millisecond}
+func less(ahead int) Request {
+	return Request{Rank: Rank{Route: 1}, Ahead: ahead, MaxWait: 250 * time.Millisecond}
 }
 
 // A burst of 1.7 times: the urgent requests take all capacity, and others would wait in
@@ -38,7 +38,7 @@
 func TestGateRefusesWhatWouldWaitInVain(t *testing.T) {
 	g := newShortGate(90)
 	require.False(t, g.Admits(at(5000), less(0)))
-	require.True(t, g.Admits(at(5000), Attempt{Rank: Rank{}, Ahead: 1000, MaxWait: time.Millisecond}), "the most urgent rank must not be refused")
+	require.True(t, g.Admits(at(5000), Request{Rank: Rank{}, Ahead: 1000, MaxWait: time.Millisecond}), "the most urgent rank must not be refused")
 	require.Equal(t, Rank{Route: 1}, g.Level(at(5000)).Rank)
 }
 
@@ -96,7 +96,7 @@
 					shortSince = now
 				}
 			case 3:
-				if g.Admits(now, Attempt{Rank: rank, Ahead: rapid.IntRange(0, 9).Draw(t, "ahead"), MaxWait: 250 * time.Millisecond}) {
+				if g.Admits(now, Request{Rank: rank, Ahead: rapid.IntRange(0, 9).Draw(t, "ahead"), MaxWait: 250 * time.Millisecond}) {
 					continue
 				}
 				require.False(t, g.IsMostUrgent(now, rank))
--- a/core/admit/rank.go
+++ b/core/admit/rank.go
@@ -57,8 +57,8 @@
 	r.arrivals[i].rate = r.arrivals[i].with(now)
 }
 
-// AreSeveral reports whether more than one rank is in use.
-func (r *Ranks) AreSeveral(now time.Time) bool {
+// HasSeveral reports whether more than one rank is in use.
+func (r *Ranks) HasSeveral(now time.Time) bool {
 	n := 0
 	for _, a := range r.arrivals {
 		if a.isRecent(now) {
--- a/core/admit/rank_test.go
+++ b/core/admit/rank_test.go
@@ -15,9 +15,9 @@
 func TestMostUrgentRankIsOneInUse(t *testing.T) {
 	var r Ranks
 	r.Record(at(0), Rank{Account: 0, Route: 2})
-	require.False(t, r.AreSeveral(at(0)))
+	require.False(t, r.HasSeveral(at(0)))
 	r.Record(at(0), Rank{Account: 1, Route: 0})
-	require.True(t, r.AreSeveral(at(0)))
+	require.True(t, r.HasSeveral(at(0)))
 	require.True(t, r.IsMostUrgent(at(0), Rank{Account: 0, Route: 2}))
 	require.False(t, r.IsMostUrgent(at(0), Rank{Account: 1, Route: 0}))
 	later := at(0).Add(rankMemory)
--- a/core/admit/returns_test.go
+++ b/core/admit/returns_test.go
@@ -13,7 +13,7 @@
 // an entry that can serve 100 a second. With one Retry-After for all they would come
 // back together.
 func TestReturnsAreSpreadByPriority(t *testing.T) {
-	r := NewReturns(1)
+	r := NewReturnSchedule(1)
 	returns := [2][]time.Duration{}
 	for i := range 200 {
 		now := at(0).Add(time.Duration(i) * 100 * time.Microsecond)
@@ -34,21 +34,21 @@
 
 // Once the returns have come, they no longer delay others.
 func TestPastReturnsAreForgotten(t *testing.T) {
-	r := NewReturns(1)
+	r := NewReturnSchedule(1)
 	for range 100 {
 		r.Plan(at(0), Rank{}, 50*time.Millisecond, 100)
 	}
 	later := at(0).Add(maxReturn)
 	require.Less(t, r.Plan(later, Rank{}, 50*time.Millisecond, 100), 150*time.Millisecond)
 	r.forgetBefore(slotOf(later.Add(time.Hour)))
-	require.Empty(t, r.told)
+	require.Empty(t, r.planned)
 }
 
 // Whatever is planned, the time is between the earliest and the longest one, and a run
 // with the same seed gives the same times.
 func TestReturnsStayWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := NewReturns(3), NewReturns(3)
+		a, b := NewReturnSchedule(3), NewReturnSchedule(3)
 		now := at(0)
 		for range rapid.IntRange(1, 100).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
@@ -59,7 +59,7 @@
 			require.Equal(t, wait, b.Plan(now, rank, earliest, rate))
 			require.GreaterOrEqual(t, wait, earliest)
 			require.LessOrEqual(t, wait, max(earliest, maxReturn))
-			require.LessOrEqual(t, len(a.told), int(maxReturn/returnSlot)+1)
+			require.LessOrEqual(t, len(a.planned), int(maxReturn/returnSlot)+1)
 		}
 	})
 }
--- a/core/pick/account_priority_test.go
+++ b/core/pick/account_priority_test.go
@@ -15,7 +15,7 @@
 	}
 	f := newTestFleet()
 	isBefore := func(now time.Time, a, b *Waiter, f *Fleet) bool {
-		return (&Queue{}).rankAll(now, []*Waiter{b, a}, f)[0].waiter == a
+		return (&Queue{}).order(now, []*Waiter{b, a}, f)[0].waiter == a
 	}
 	require.True(t, isBefore(now, waiter(0, 9), waiter(1, 0), f))
 	require.False(t, isBefore(now, waiter(1, 0), waiter(0, 9), f))
--- a/core/pick/cold.go
+++ b/core/pick/cold.go
@@ -16,21 +16,21 @@
 	MaxColdTime = time.Hour
 	// defaultColdOverage applies to a Config without ColdOverage.
 	defaultColdOverage = 1.5
-	// coldViews is the number of different lists of entries at a time for which the sum
-	// of the shares stays below the limit times Config.ColdOverage. Entries share a cold
-	// limit from the moment it begins, which may be during a change of members.
+	// coldViews is the number of different lists of entries that may be in use at a time,
+	// as during a change of members, without the sum of the shares exceeding the limit times
+	// Config.ColdOverage.
 	coldViews = 2
 	// coldSlowdownGain is the weight of one sample in the slowdown of a cold upstream,
 	// which few requests measure.
 	coldSlowdownGain = 0.3
-	// listedColdTolerance is how long after its usual end a cold time that was registered
-	// before this entry started may still last. It covers differences between clocks.
+	// listedColdTolerance is the allowance for differences between clocks when a cold time
+	// that was registered before this entry started is compared with the start of the upstream.
 	listedColdTolerance = time.Minute
 	// minStartTime is the least value of StartedAtUnixMs that is taken for a time; upstreams
 	// may number their starts instead.
 	minStartTime = 1_500_000_000_000
-	// coldRounding is added to a registered cold time, which was cut to whole
-	// milliseconds: an entry that learns of it at once would end it early.
+	// coldRounding is added to a registered cold time, because the upstream rounds it down to
+	// whole milliseconds.
 	coldRounding = time.Millisecond
 	// noExploration exceeds MaxColdTime: the limit of a cold upstream ends by itself, so
 	// that no entry without a share needs to send a request to learn whether it has.
@@ -40,13 +40,15 @@
 // cold is the limit of an upstream while it is cold, as this entry keeps it.
 type cold struct {
 	*proc.Quota
+	// knownSince is when this entry learned of the cold time, and sharedAt when its share was
+	// last computed.
 	knownSince time.Time
 	sharedAt   time.Time
 	// slowdown is that of the cold upstream. The usual one does not include it.
 	slowdown float64
 }
 
-// ColdChange is the begin or the end of a cold time.
+// ColdChange is the beginning or the end of a cold time.
 type ColdChange struct {
 	magnolialedge.Registration
 	IsCold bool
--- a/core/pick/cold_bound_test.go
+++ b/core/pick/cold_bound_test.go
@@ -58,7 +58,7 @@
 // QuotaShare implements magnolialedge.QuotaSharer.
 func (e *simEntry) QuotaShare(now time.Time, r magnolialedge.Registration) magnolialedge.QuotaShare {
 	ms := int(now.Sub(at(0)).Milliseconds())
-	keepers := proc.SteeredKeepers(e.view(ms), r.Service, proc.Place{Region: "r0", Zone: "z0"}, []string{"shop.example"})
+	keepers := proc.ColdLimitSharers(e.view(ms), r.Service, proc.Place{Region: "r0", Zone: "z0"}, []string{"shop.example"})
 	share := proc.ShareAmong(keepers, e.Name, r)
 	if ms-max(e.startsAt, e.upgradedAt) < int(proc.MemberSettleTime.Milliseconds()) {
 		share.Fraction = 0
--- a/core/pick/contact.go
+++ b/core/pick/contact.go
@@ -16,7 +16,8 @@
 }
 
 // contact returns the number of upstreams that could serve a request and did not respond when
-// they were last tried, and the time since any of the service responded, or -1 if none has.
+// they were last tried. age is the time since any upstream of the service responded, or -1 if
+// none has.
 func (f *Fleet) contact(now time.Time, req Request) (unreachable int, age time.Duration) {
 	age = -1
 	p := f.newFilter(now, req)
--- a/core/pick/filter.go
+++ b/core/pick/filter.go
@@ -8,8 +8,9 @@
 	"magnolialedge/core/proc"
 )
 
-// filter decides which upstreams may serve a request at one moment. All code that chooses or
-// counts upstreams uses it.
+// filter decides which upstreams may serve a request at one moment. Code that chooses or
+// counts upstreams must use it. One with no regions set, as for probes, serves only isUsable
+// and mayProbe.
 type filter struct {
 	now     time.Time
 	regions regionSet
@@ -25,7 +26,7 @@
 }
 
 // isUsable reports whether an upstream takes requests at all: it is in service, neither backed
-// off nor ejected, and did not ask this entry to back off.
+// off after failed connections nor ejected, and did not ask this entry to back off.
 func (p filter) isUsable(u *upstream) bool {
 	return u.isInService() && !u.isPaused(p.now) && !p.now.Before(u.backoffUntil) && u.health.StateAt(p.now) != proc.Ejected
 }
--- a/core/pick/filter_test.go
+++ b/core/pick/filter_test.go
@@ -152,7 +152,7 @@
 	require.True(t, q.push(at(0), f, "west", requestIn("west")))
 	require.True(t, q.push(at(0), f, "any", testRequest(at(0))))
 	f.SetEvacuated("west-a", true)
-	q.WakeStranded(at(1), f)
+	q.WakeUnservable(at(1), f)
 	require.Equal(t, []string{"west"}, q.order)
 	require.Equal(t, 1, q.Len())
 }
--- a/core/pick/notice.go
+++ b/core/pick/notice.go
@@ -88,8 +88,9 @@
 	return isNew
 }
 
-// MayProbe reports whether a probe may be sent to an upstream: one that is leaving,
-// in an evacuated zone, asks to back off, announces a limit or is cold with a limit gets none.
+// MayProbe reports whether a probe may be sent to an upstream. None is sent to one that is
+// leaving, is in an evacuated zone, asks to back off, announces a limit, or is cold with a
+// limit.
 func (f *Fleet) MayProbe(now time.Time, id string) bool {
 	u, ok := f.byID[id]
 	return ok && filter{now: now}.mayProbe(u)
--- a/core/pick/queue.go
+++ b/core/pick/queue.go
@@ -64,10 +64,10 @@
 	return true
 }
 
-// AttemptOf describes a waiter that is not in the queue yet, for the decision whether it
+// AdmissionRequest describes a waiter that is not in the queue yet, for the decision whether it
 // is admitted.
-func (q *Queue) AttemptOf(now time.Time, w *Waiter, f *Fleet) admit.Attempt {
-	return admit.Attempt{
+func (q *Queue) AdmissionRequest(now time.Time, w *Waiter, f *Fleet) admit.Request {
+	return admit.Request{
 		Rank:    admit.Rank{Account: w.Request.AccountPriority, Route: w.Request.Priority},
 		Ahead:   q.countAhead(now, w, f),
 		MaxWait: time.Duration(maxWaitShare * float64(w.Request.Deadline.Sub(now))),
@@ -78,8 +78,8 @@
 // upstreams.
 func (q *Queue) countAhead(now time.Time, w *Waiter, f *Fleet) int {
 	rivals := slices.DeleteFunc(slices.Clone(q.waiters), func(x *Waiter) bool { return !w.Request.sharesRegion(x.Request) })
-	ranks := q.rankAll(now, append(rivals, w), f)
-	return slices.IndexFunc(ranks, func(r rank) bool { return r.waiter == w })
+	positions := q.order(now, append(rivals, w), f)
+	return slices.IndexFunc(positions, func(p position) bool { return p.waiter == w })
 }
 
 // SetStrictUntil lets only requests wait, until the given time, that can meet their latency
@@ -128,7 +128,7 @@
 // have a candidate, in order, and no more of them than there are free slots.
 func (q *Queue) Dispatch(now time.Time, f *Fleet) {
 	q.dropExpired(now, f)
-	for i, r := range q.rankAll(now, q.waiters, f) {
+	for i, r := range q.order(now, q.waiters, f) {
 		q.waiters[i] = r.waiter
 	}
 	blocked := map[waiterClass]bool{}
--- a/core/pick/regionset.go
+++ b/core/pick/regionset.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// regionSet is a set of regions with a bit for each. A comparison of names for each upstream
-// would make a pick by a quarter slower.
+// regionSet is a set of regions with a bit for each. Each pick tests all upstreams of a
+// service, and comparing the names of regions would slow it down noticeably.
 type regionSet uint64
 
 const (
--- a/core/pick/result.go
+++ b/core/pick/result.go
@@ -103,9 +103,8 @@
 	return req.Route + "\x00" + req.Service
 }
 
-// canEject reports whether another upstream of the service may be ejected. At
-// most half of those that are neither draining nor evacuated may be ejected or on probation at a
-// time.
+// canEject reports whether another upstream of the service may be ejected. At most half of
+// those that are neither draining nor evacuated may be ejected or on probation at a time.
 func (f *Fleet) canEject(now time.Time, service string) bool {
 	unhealthy, total := 0, 0
 	for _, u := range f.byService[service] {
--- a/core/pick/sim_test.go
+++ b/core/pick/sim_test.go
@@ -244,7 +244,7 @@
 		}
 		e.after(0, func() { e.try(r) })
 	}
-	if !e.isToday && !hasCandidate && !e.gate.Admits(e.now, e.queue.AttemptOf(e.now, w, e.fleet)) {
+	if !e.isToday && !hasCandidate && !e.gate.Admits(e.now, e.queue.AdmissionRequest(e.now, w, e.fleet)) {
 		e.gateRefusedAt = e.now.Sub(simStart)
 		r.refuse()
 		return
@@ -352,7 +352,7 @@
 
 func (e *simEntry) takeRetry(r *simRequest) bool {
 	isUrgent := e.gate.IsMostUrgent(e.now, admit.Rank{Route: r.Priority}) && e.fleet.CanMeetTarget(e.now, r.Request)
-	if e.isToday || isUrgent || !e.gate.AreSeveral(e.now) {
+	if e.isToday || isUrgent || !e.gate.HasSeveral(e.now) {
 		return e.retries.Withdraw()
 	}
 	return e.retries.WithdrawUnreserved()
--- a/core/pick/turn.go
+++ b/core/pick/turn.go
@@ -88,8 +88,8 @@
 	*turn = Turn{isTaken: true, start: q.turnsOf(req).take(req.Account, f.ServiceTimeNanos(req))}
 }
 
-// rank is the place of a waiter in the order in which waiters are woken.
-type rank struct {
+// position is the place of a waiter in the order in which waiters are woken.
+type position struct {
 	waiter        *Waiter
 	canMeetTarget bool
 	start         float64
@@ -102,7 +102,7 @@
 // arrival of an account is first. In first-in first-out order, an overload would let
 // each request reach an upstream just after its soft deadline; the latest arrivals have
 // the most time left.
-func (a rank) compare(b rank) int {
+func (a position) compare(b position) int {
 	if a.canMeetTarget != b.canMeetTarget {
 		if a.canMeetTarget {
 			return -1
@@ -117,35 +117,35 @@
 	)
 }
 
-// rankAll returns the ranks of waiters in the order in which they are woken. Waiters of
-// equal rank keep their order.
-func (q *Queue) rankAll(now time.Time, waiters []*Waiter, f *Fleet) []rank {
-	ranks := make([]rank, len(waiters))
+// order returns the positions of waiters, in the order in which they are woken. Waiters of
+// equal position keep their order.
+func (q *Queue) order(now time.Time, waiters []*Waiter, f *Fleet) []position {
+	positions := make([]position, len(waiters))
 	hasAccounts := false
 	for i, w := range waiters {
-		ranks[i] = rank{waiter: w, canMeetTarget: f.CanMeetTarget(now, w.Request), arrivedAt: w.Request.arrivedAt()}
+		positions[i] = position{waiter: w, canMeetTarget: f.CanMeetTarget(now, w.Request), arrivedAt: w.Request.arrivedAt()}
 		hasAccounts = hasAccounts || w.Request.Account != ""
 	}
-	slices.SortStableFunc(ranks, rank.compare)
+	slices.SortStableFunc(positions, position.compare)
 	if hasAccounts {
-		q.assignStarts(ranks, f)
-		slices.SortStableFunc(ranks, rank.compare)
+		q.assignStarts(positions, f)
+		slices.SortStableFunc(positions, position.compare)
 	}
-	return ranks
+	return positions
 }
 
-// assignStarts sets the start tags of ranks, which are in the order that applies within
+// assignStarts sets the start tags of positions, which are in the order that applies within
 // an account, as if they were served in this order.
-func (q *Queue) assignStarts(ranks []rank, f *Fleet) {
+func (q *Queue) assignStarts(positions []position, f *Fleet) {
 	type flow struct {
 		turnClass
 		account string
 	}
 	next := map[flow]float64{}
-	for i := range ranks {
-		w := ranks[i].waiter
+	for i := range positions {
+		w := positions[i].waiter
 		if w.Turn.isTaken {
-			ranks[i].start = w.Turn.start
+			positions[i].start = w.Turn.start
 			continue
 		}
 		key := flow{turnClass: classOf(w.Request), account: w.Request.Account}
@@ -153,7 +153,7 @@
 		if !ok {
 			start = q.turnsOf(w.Request).nextStart(w.Request.Account)
 		}
-		ranks[i].start = start
+		positions[i].start = start
 		next[key] = start + f.ServiceTimeNanos(w.Request)
 	}
 }
--- a/core/pick/turn_test.go
+++ b/core/pick/turn_test.go
@@ -49,7 +49,7 @@
 		q.TakeTurn(f, last.Request, &last.Turn)
 		require.False(t, q.HasTurns(), "accounts must not take turns without accounts")
 		var got []*Waiter
-		for _, r := range q.rankAll(at(0), waiters, f) {
+		for _, r := range q.order(at(0), waiters, f) {
 			got = append(got, r.waiter)
 		}
 		slices.SortStableFunc(waiters, func(a, b *Waiter) int {
@@ -111,7 +111,7 @@
 	q.TakeTurn(f, req, &turn)
 	require.Equal(t, tag, q.turnsOf(req).nextStart("a"))
 	w := &Waiter{Request: req, Turn: turn}
-	require.Less(t, q.rankAll(at(0), []*Waiter{w}, f)[0].start, tag)
+	require.Less(t, q.order(at(0), []*Waiter{w}, f)[0].start, tag)
 }
 
 // The finish tags must stay bounded however many accounts there are.
--- a/core/pick/strand.go
+++ b/core/pick/unservable.go
@@ -8,9 +8,9 @@
 	"magnolialedge"
 )
 
-// WakeStranded wakes the waiters that no upstream may serve any longer, so that they do not
-// wait in vain.
-func (q *Queue) WakeStranded(now time.Time, f *Fleet) {
+// WakeUnservable wakes the waiters that no upstream may serve any longer, so that they are
+// refused at once instead of at their timeout.
+func (q *Queue) WakeUnservable(now time.Time, f *Fleet) {
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
 		if f.hasUsable(now, w.Request) {
 			return false
--- a/core/proc/coldshare_test.go
+++ b/core/proc/coldshare_test.go
@@ -35,12 +35,12 @@
 		all := mixedFleet(r, []int{14, 312}[seed%2], r.Float64())
 		place, hosts := Place{Region: "r0", Zone: "z0"}, []string{"a.example", "b.example"}
 		up := magnolialedge.Registration{ID: "u", Service: "svc", Zone: "z0"}
-		hasEarlier := slices.ContainsFunc(SteeredEntries(all, up.Service, place, hosts), isEarlier)
-		keepers := SteeredKeepers(all, up.Service, place, hosts)
+		hasEarlier := slices.ContainsFunc(SteeredEntries(all, up.Service, place, hosts), ignoresColdLimits)
+		keepers := ColdLimitSharers(all, up.Service, place, hosts)
 		sum := 0.0
 		for _, in := range all {
 			share := ShareAmong(keepers, in.Name, up).Fraction
-			require.False(t, share > 0 && isEarlier(in), "an entry of protocol 0 counts as a holder")
+			require.False(t, share > 0 && ignoresColdLimits(in), "an entry of protocol 0 counts as a holder")
 			sum += share
 		}
 		if hasEarlier {
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -122,12 +122,8 @@
 // IsAuthExempt reports whether the requests of the route that Find returns need no key of a
 // client account, without advancing its traffic split.
 func (t *Table) IsAuthExempt(host, path string) bool {
-	for _, c := range t.byHost[canonicalHost(host)] {
-		if strings.HasPrefix(path, c.route.Prefix) {
-			return c.route.AuthExempt
-		}
-	}
-	return false
+	r, _ := t.Route(host, path)
+	return r.AuthExempt
 }
 
 // canonicalHost removes the port from a host and converts it to lower case.
--- a/io/node/limit.go
+++ b/io/node/limit.go
@@ -151,7 +151,7 @@
 }
 
 func (s *coldSharer) steeredTo(r magnolialedge.Registration) []magnolialedge.Instance {
-	return proc.SteeredKeepers(s.members.list(), r.Service, s.placeOf(r), s.hostsOf(r.Service))
+	return proc.ColdLimitSharers(s.members.list(), r.Service, s.placeOf(r), s.hostsOf(r.Service))
 }
 
 // coldUpstream describes an upstream that is cold, in the dump.
--- a/io/serve/admit.go
+++ b/io/serve/admit.go
@@ -14,7 +14,7 @@
 // loggedLevel is the last level that was logged.
 type gate struct {
 	admit.Gate
-	returns     *admit.Returns
+	returns     *admit.ReturnSchedule
 	loggedLevel admit.Level
 }
 
@@ -22,7 +22,7 @@
 func (f *Forwarder) gateOf(service string) *gate {
 	g, ok := f.gates[service]
 	if !ok {
-		g = &gate{returns: admit.NewReturns(xxhash.Sum64String(f.cfg.Name + "\x00" + service))}
+		g = &gate{returns: admit.NewReturnSchedule(xxhash.Sum64String(f.cfg.Name + "\x00" + service))}
 		f.gates[service] = g
 	}
 	return g
@@ -48,7 +48,7 @@
 	if !g.MayRefuse(now, rankOf(w.Request)) {
 		return true
 	}
-	ok := g.Admits(now, q.AttemptOf(now, w, f.fleet))
+	ok := g.Admits(now, q.AdmissionRequest(now, w, f.fleet))
 	f.logLevel(now, w.Request.Service)
 	return ok
 }
--- a/io/serve/region.go
+++ b/io/serve/region.go
@@ -26,7 +26,7 @@
 	f.resizeProbeBudget()
 	now := time.Now()
 	for _, q := range f.queues {
-		q.WakeStranded(now, f.fleet)
+		q.WakeUnservable(now, f.fleet)
 		q.Dispatch(now, f.fleet)
 	}
 	return true
--- a/io/serve/retry.go
+++ b/io/serve/retry.go
@@ -35,7 +35,7 @@
 // their latency target. The caller holds f.mu.
 func (f *Forwarder) takeRetry(now time.Time, req pick.Request) bool {
 	budget, gate := f.retryBudget(req.Service), f.gateOf(req.Service)
-	if !f.hasAdmission() || !gate.AreSeveral(now) || (gate.IsMostUrgent(now, rankOf(req)) && f.fleet.CanMeetTarget(now, req)) {
+	if !f.hasAdmission() || !gate.HasSeveral(now) || (gate.IsMostUrgent(now, rankOf(req)) && f.fleet.CanMeetTarget(now, req)) {
 		return budget.Withdraw()
 	}
 	return budget.WithdrawUnreserved()
--- a/route.go
+++ b/route.go
@@ -169,7 +169,7 @@
 	// RemovedUpstreamID is the ID of an upstream that is no longer registered,
 	// or whose registration is invalid.
 	RemovedUpstreamID string
-	// Evacuation is the begin or the end of an evacuation.
+	// Evacuation is the beginning or the end of an evacuation.
 	Evacuation *Evacuation
 }
 
