Share the messages and log limits of credits with other messages

A lost message about credits dropped its error; it is logged as peerUnreachable, at most once a minute and peer. The method Node.run, which identified a run beside Node.Run, is Node.runID.

go test -race of the credit, handover and log tests of io/node passes.

--- a/io/node/credit_message.go
+++ b/io/node/credit_message.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"math"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,14 +22,11 @@
 	// votePath the one where it asks another candidate for its vote.
 	creditPath = "/v1/credits"
 	votePath   = "/v1/votes"
-	// maxCreditAccounts, maxCredits and maxCreditRate limit the numbers in a message.
+	// maxCreditAccounts limits the accounts, maxCredits each number of credits, and
+	// maxCreditRate each rate, in requests per second, of a message.
 	maxCreditAccounts = 64
 	maxCredits        = 100_000
 	maxCreditRate     = 1e6
-	// invalidCreditLogInterval is the shortest time between two log lines about invalid
-	// messages of one peer, and maxLoggedCreditPeers limits the peers that are remembered.
-	invalidCreditLogInterval = time.Minute
-	maxLoggedCreditPeers     = 1024
 )
 
 var errInvalidCreditMessage = errors.New("the message about credits is invalid")
@@ -169,7 +164,7 @@
 	return out, nil
 }
 
-// rounded returns a rate with the digits that matter, so that its text is short.
+// rounded returns a rate with three decimal places, which keeps messages short.
 func rounded(rate float64) float64 {
 	return math.Round(rate*1000) / 1000
 }
@@ -191,16 +186,13 @@
 	return out, nil
 }
 
+// post sends a message and decodes its reply.
 func (c creditClient) post(ctx context.Context, address, path string, message, reply any) error {
 	body, err := json.Marshal(message)
 	if err != nil {
 		return errors.Wrap(err, "encode message")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "send message")
-	}
-	resp, err := c.client.Do(req)
+	resp, err := postMessage(ctx, c.client, address, path, body)
 	if err != nil {
 		return errors.Wrap(err, "send message")
 	}
@@ -215,9 +207,7 @@
 type creditHandler struct {
 	credits *credits
 	log     event.Logger
-
-	mu       sync.Mutex
-	loggedAt map[string]time.Time
+	invalid peerLogLimiter
 }
 
 func (h *creditHandler) handleDraw(c echo.Context) error {
@@ -259,21 +249,13 @@
 	return c.JSON(http.StatusOK, reply)
 }
 
-// refuse refuses an invalid message and logs it at most once per invalidCreditLogInterval
-// and peer.
+// refuse refuses an invalid message and logs it at most once per peerLogInterval and peer.
 func (h *creditHandler) refuse(c echo.Context, err error) error {
 	peer, _, splitErr := net.SplitHostPort(c.Request().RemoteAddr)
 	if splitErr != nil {
 		peer = c.Request().RemoteAddr
 	}
-	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if now.Sub(h.loggedAt[peer]) >= invalidCreditLogInterval {
-		if len(h.loggedAt) >= maxLoggedCreditPeers {
-			clear(h.loggedAt)
-		}
-		h.loggedAt[peer] = now
+	if h.invalid.shouldLog(time.Now(), peer) {
 		h.log.Log(event.CreditMessageInvalid, "peer", peer, "err", err)
 	}
 	return c.NoContent(http.StatusBadRequest)
--- a/io/node/credits.go
+++ b/io/node/credits.go
@@ -16,12 +16,11 @@
 )
 
 const (
-	// creditTick is the time between two checks for credits and votes to renew, and
-	// waitingTick the same while requests wait for credits.
+	// creditTick is the time between two checks for credits and votes to renew. waitingTick
+	// replaces it while requests wait for credits, and idleTick while no account has a limit.
 	creditTick  = 50 * time.Millisecond
 	waitingTick = 5 * time.Millisecond
-	// idleTick replaces creditTick while no account has a limit.
-	idleTick = time.Minute
+	idleTick    = time.Minute
 	// candidatesTTL is how long the candidates of an account are cached.
 	candidatesTTL = 100 * time.Millisecond
 	// ballotTimeout limits asking another candidate for its vote.
@@ -29,8 +28,8 @@
 	// exhaustedLogInterval is the shortest time between two log lines about an exhausted
 	// account.
 	exhaustedLogInterval = time.Second
-	// defaultQuotaWindow, defaultQuotaOverage and defaultQuotaSlack apply if the settings
-	// do not state the bound.
+	// defaultQuotaWindow, defaultQuotaOverage, a fraction, and defaultQuotaSlack, in requests,
+	// apply if the settings do not state the bound.
 	defaultQuotaWindow  = 5 * time.Second
 	defaultQuotaOverage = 0.1
 	defaultQuotaSlack   = 20
@@ -78,6 +77,7 @@
 	// owners holds the entry that last granted credits, by account.
 	owners            map[string]string
 	exhaustedLoggedAt map[string]time.Time
+	lost              peerLogLimiter
 }
 
 func newCredits(now time.Time, self acct.Run, bound acct.Bound, members func() []magnolialedge.Instance, peers creditPeers, metrics *creditMetrics, log event.Logger) *credits {
@@ -148,7 +148,8 @@
 	return creditTick
 }
 
-// refreshCandidates drops the cached candidates when they are old.
+// refreshCandidates drops the cached candidates and lists the entries again if that was done
+// longer than candidatesTTL ago. The caller holds c.mu.
 func (c *credits) refreshCandidates(now time.Time) {
 	if now.Sub(c.candidateAt) < candidatesTTL {
 		return
@@ -203,16 +204,21 @@
 	}()
 }
 
-// recordLost counts a message without a reply. A refused connection shows that the run of
-// the other entry has ended.
+// recordLost counts a message without a reply, and logs it at most once per peerLogInterval
+// and peer. A refused connection shows that the run of the other entry has ended. The caller
+// holds c.mu.
 func (c *credits) recordLost(to magnolialedge.Instance, err error) {
 	c.metrics.messages.WithLabelValues("lost").Inc()
+	if c.lost.shouldLog(time.Now(), to.Name) {
+		c.log.Log(event.PeerUnreachable, "peer", to.PeerAddress, "err", err)
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.granter.Forget(acct.Run{Name: to.Name, StartedAt: to.StartedAt})
 	}
 }
 
-// finish applies the replies to a message and wakes the requests that wait.
+// finish applies the replies to a message and wakes the requests that wait. The caller holds
+// c.mu.
 func (c *credits) finish(now time.Time, m acct.Message, replies map[string]acct.Reply) {
 	c.scheduler.Done(now, m, replies)
 	for _, d := range m.Draws {
@@ -229,7 +235,8 @@
 	c.signal()
 }
 
-// recordOwner logs that another entry than before grants the credits of an account.
+// recordOwner records which entry grants the credits of an account, and logs a change. The
+// caller holds c.mu.
 func (c *credits) recordOwner(account, owner string) {
 	before := c.owners[account]
 	if before == owner {
@@ -295,6 +302,7 @@
 	}
 }
 
+// askVotes sends ballots to another candidate and applies the results.
 func (c *credits) askVotes(sentAt time.Time, to magnolialedge.Instance, ballots []acct.Ballot) {
 	ctx, cancel := context.WithTimeout(context.Background(), ballotTimeout)
 	defer cancel()
@@ -332,79 +340,3 @@
 	}
 	return results
 }
-
-// Admit implements serve.AccountQuotas.
-func (c *credits) Admit(ctx context.Context, account string) acct.Admission {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	limit, ok := c.limits[account]
-	if !ok {
-		return acct.Admission{Verdict: acct.Admitted}
-	}
-	verdict, retryAfter := c.holder.Take(now, account)
-	if verdict == acct.Waiting {
-		verdict, retryAfter = c.await(ctx, account)
-		now = time.Now()
-	} else if c.holder.IsDue(now, account) {
-		c.signal()
-	}
-	if verdict == acct.Admitted {
-		return acct.Admission{Verdict: verdict}
-	}
-	a := acct.Admission{Verdict: verdict, RetryAfter: retryAfter, Limit: limit, Owner: c.owners[account], Standing: c.holder.Standing(now, account)}
-	c.recordRefusal(now, account, a)
-	return a
-}
-
-// await waits until a reply decides on a request, for AskTimeout at most. The caller holds
-// c.mu, which is released meanwhile.
-func (c *credits) await(ctx context.Context, account string) (acct.Verdict, time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, acct.AskTimeout)
-	defer cancel()
-	start := time.Now()
-	c.waiting++
-	defer func() {
-		c.waiting--
-		c.metrics.wait.Observe(time.Since(start).Seconds())
-	}()
-	for {
-		ch, ok := c.replied[account]
-		if !ok {
-			ch = make(chan struct{})
-			c.replied[account] = ch
-		}
-		c.signal()
-		c.mu.Unlock()
-		select {
-		case <-ch:
-		case <-ctx.Done():
-		}
-		c.mu.Lock()
-		if verdict, retryAfter := c.holder.Resume(time.Now(), account); verdict != acct.Waiting {
-			return verdict, retryAfter
-		}
-		if ctx.Err() != nil {
-			c.holder.Abandon(account)
-			return acct.Unavailable, 0
-		}
-	}
-}
-
-// recordRefusal counts a refused request, and logs one per account and second.
-func (c *credits) recordRefusal(now time.Time, account string, a acct.Admission) {
-	if a.Verdict == acct.Unavailable {
-		c.metrics.requests.WithLabelValues("unavailable").Inc()
-	} else {
-		c.metrics.requests.WithLabelValues("overQuota").Inc()
-	}
-	if now.Sub(c.exhaustedLoggedAt[account]) < exhaustedLogInterval {
-		return
-	}
-	c.exhaustedLoggedAt[account] = now
-	e := event.QuotaExhausted
-	if a.Verdict == acct.Unavailable {
-		e = event.QuotaOwnerUnreachable
-	}
-	c.log.Log(e, "account", account, "owner", a.Owner, "limit", a.Limit.Rate, "share", a.Standing.Share, "use", a.Standing.Rate, "grantAgeMs", a.Standing.GrantAgeMs())
-}
--- a/io/node/credits_test.go
+++ b/io/node/credits_test.go
@@ -38,7 +38,7 @@
 	for i := range n {
 		run := acct.Run{Name: string(rune('a' + i)), StartedAt: 1}
 		c := newCredits(time.Now(), run, quotaBound(Settings{}), list, creditClient{client: http.DefaultClient, self: run}, newCreditMetrics(prometheus.NewRegistry()), event.Logger{})
-		h := &creditHandler{credits: c, loggedAt: map[string]time.Time{}}
+		h := &creditHandler{credits: c}
 		e := echo.New()
 		e.POST(creditPath, h.handleDraw)
 		e.POST(votePath, h.handleVote)
@@ -117,7 +117,7 @@
 func TestInvalidCreditMessagesAreRefused(t *testing.T) {
 	c := newCredits(time.Now(), acct.Run{Name: "a"}, quotaBound(Settings{}), func() []magnolialedge.Instance { return nil }, nil, newCreditMetrics(prometheus.NewRegistry()), event.Logger{})
 	logs := &strings.Builder{}
-	h := &creditHandler{credits: c, log: event.NewLogger(logs, "a"), loggedAt: map[string]time.Time{}}
+	h := &creditHandler{credits: c, log: event.NewLogger(logs, "a")}
 	e := echo.New()
 	e.POST(creditPath, h.handleDraw)
 	for body, want := range map[string]int{
--- a/io/node/evacuation.go
+++ b/io/node/evacuation.go
@@ -29,7 +29,7 @@
 	return &evacuations{revisions: map[string]int64{}, ignored: map[string]bool{}}
 }
 
-// record records the begin, the repetition or the end of an evacuation.
+// record records the beginning, the repetition or the end of an evacuation.
 func (e *evacuations) record(ev magnolialedge.Evacuation, revision int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -65,7 +65,7 @@
 	return out
 }
 
-// applyEvacuation applies the begin or the end of an evacuation. An unknown zone is ignored.
+// applyEvacuation applies the beginning or the end of an evacuation. An unknown zone is ignored.
 func (n *Node) applyEvacuation(ev magnolialedge.Evacuation, revision int64) {
 	if _, ok := n.settings.Regions[ev.Zone]; !ok {
 		if ev.Active && n.evacuations.ignore(ev.Zone) {
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -60,7 +60,7 @@
 	e.GET(handoverPath, n.acceptHandovers)
 	e.POST(endReportPath, n.handleEndReport)
 	e.POST(limitReportPath, n.handleLimitReport)
-	quotas := &creditHandler{credits: n.credits, log: n.log, loggedAt: map[string]time.Time{}}
+	quotas := &creditHandler{credits: n.credits, log: n.log}
 	e.POST(creditPath, quotas.handleDraw)
 	e.POST(votePath, quotas.handleVote)
 	e.POST(memberPath, func(c echo.Context) error {
@@ -178,7 +178,7 @@
 func (n *Node) post(address, path string, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	resp, err := n.send(ctx, address, path, body)
+	resp, err := postMessage(ctx, n.peerClient, address, path, body)
 	if err != nil {
 		n.log.Log(event.PeerUnreachable, "peer", address, "err", err)
 		return
@@ -186,11 +186,11 @@
 	_ = resp.Body.Close()
 }
 
-// send posts a message to another entry. The caller closes the body of the response.
-func (n *Node) send(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
+// postMessage posts a message to another entry. The caller closes the body of the response.
+func postMessage(ctx context.Context, client *http.Client, address, path string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	return n.peerClient.Do(req)
+	return client.Do(req)
 }
--- a/io/node/handover_peer.go
+++ b/io/node/handover_peer.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// refusalLogInterval is the shortest time between two log lines about refused
-	// connections of one peer.
-	refusalLogInterval = time.Minute
+	// peerLogInterval is the shortest time between two log lines of a peerLogLimiter about
+	// one peer.
+	peerLogInterval = time.Minute
 	// maxLoggedPeers limits the peers whose last log line is remembered.
 	maxLoggedPeers = 1024
 )
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := n.send(ctx, address, memberPath, body)
+	resp, err := postMessage(ctx, n.peerClient, address, memberPath, body)
 	if err != nil {
 		return err
 	}
@@ -109,7 +109,7 @@
 func (l *peerLogLimiter) shouldLog(now time.Time, peer string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at, ok := l.loggedAt[peer]; ok && now.Sub(at) < refusalLogInterval {
+	if at, ok := l.loggedAt[peer]; ok && now.Sub(at) < peerLogInterval {
 		return false
 	}
 	if l.loggedAt == nil || len(l.loggedAt) >= maxLoggedPeers {
--- a/io/node/handover_peer_test.go
+++ b/io/node/handover_peer_test.go
@@ -45,8 +45,8 @@
 	now := time.Unix(100, 0)
 	require.True(t, l.shouldLog(now, "a"))
 	require.True(t, l.shouldLog(now, "b"))
-	require.False(t, l.shouldLog(now.Add(refusalLogInterval-1), "a"))
-	require.True(t, l.shouldLog(now.Add(refusalLogInterval), "a"))
+	require.False(t, l.shouldLog(now.Add(peerLogInterval-1), "a"))
+	require.True(t, l.shouldLog(now.Add(peerLogInterval), "a"))
 	for i := range 2 * maxLoggedPeers {
 		l.shouldLog(now, fmt.Sprint(i))
 	}
--- a/io/node/limit.go
+++ b/io/node/limit.go
@@ -110,13 +110,13 @@
 	return q.hosts[service]
 }
 
-// steeredTTL is the time for which coldSharer uses the same entries for all upstreams of a
-// service and zone. A zone may have many cold ones, whose shares are updated together.
+// steeredTTL is how long coldSharer caches the entries for the upstreams of a service and zone,
+// because the shares of many cold upstreams are updated together.
 const steeredTTL = 50 * time.Millisecond
 
-// coldSharer divides the limits of cold upstreams among the listed entries, unless one does
-// not keep them. One that cannot be reached keeps its share, since it may still reach the upstream. It is
-// not safe for concurrent use.
+// coldSharer divides the limits of cold upstreams among the listed entries, unless one of them
+// ignores these limits. An entry that cannot be reached keeps its share, since it may still
+// reach the upstream. It is not safe for concurrent use.
 type coldSharer struct {
 	*quotaSharer
 	steered map[coldGroup]steeredEntries
@@ -127,6 +127,7 @@
 	service, zone string
 }
 
+// steeredEntries is a cached list of entries.
 type steeredEntries struct {
 	entries []magnolialedge.Instance
 	at      time.Time
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -126,7 +126,7 @@
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
 	n.peerClient = &http.Client{Transport: dialer.Transport("")}
-	n.credits = newCredits(n.start, n.run(), quotaBound(s), n.members.list, creditClient{client: n.peerClient, self: n.run()}, newCreditMetrics(n.registry), n.log)
+	n.credits = newCredits(n.start, n.runID(), quotaBound(s), n.members.list, creditClient{client: n.peerClient, self: n.runID()}, newCreditMetrics(n.registry), n.log)
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
 	n.helperPool = link.NewPool(link.PoolConfig{Dialer: n.newHandoverDialer(), Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
@@ -237,8 +237,8 @@
 	}
 }
 
-// run returns what identifies this run of the entry.
-func (n *Node) run() acct.Run {
+// runID identifies this run of the entry.
+func (n *Node) runID() acct.Run {
 	return acct.Run{Name: n.settings.Name, StartedAt: n.start.UnixMilli()}
 }
 
--- a/io/node/peer_check.go
+++ b/io/node/peer_check.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -66,11 +65,7 @@
 	if err != nil {
 		return peerCheck{}, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+peerCheckPath, bytes.NewReader(body))
-	if err != nil {
-		return peerCheck{}, err
-	}
-	resp, err := n.peerClient.Do(req)
+	resp, err := postMessage(ctx, n.peerClient, address, peerCheckPath, body)
 	if err != nil {
 		return peerCheck{}, err
 	}
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -44,7 +44,8 @@
 	// together.
 	MaxProbesPerSec float64
 	// ColdOverage and ColdSlack bound the requests to a cold upstream in any second, from
-	// all entries together: the limit of its service times ColdOverage, plus ColdSlack.
+	// all entries together: the limit of its service times ColdOverage, plus ColdSlack. The
+	// shares of the entries do not depend on ColdSlack.
 	ColdOverage float64
 	ColdSlack   float64
 	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of a client account in
--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -37,9 +37,9 @@
 	n.detectCommonStart(time.Now())
 }
 
-// commonStartTime is the time after the start of most entries during which requests only
-// wait for their latency target. In an outage of all entries for 1.6 s, requests were
-// served late for up to ten seconds afterwards.
+// commonStartTime is the time after the start of most entries during which requests wait only
+// as long as they can meet their latency target. After a short outage, it takes that long
+// until the callers that return at once have been served.
 const commonStartTime = 10 * time.Second
 
 // detectCommonStart prepares for callers that return at once if most entries have started
