--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -69,7 +69,7 @@
 	CreditMessageInvalid    = Event{3133, "creditMessageInvalid", Warning, "A message about credits from another entry was refused because it is invalid. At most one line a minute and peer."}
 	AdmissionLevel          = Event{3140, "admissionLevel", Warning, "The capacity of a service is short: requests of the named priorities, and less urgent ones, are refused at once if they could not be served within the time that they may wait."}
 	AdmissionEnded          = Event{3141, "admissionEnded", Info, "Requests of a service are no longer refused because of their priority."}
-	StartedTogether         = Event{3142, "startedTogether", Info, "Most entries started together with this one; until their callers have returned, requests only wait for their latency target."}
+	StartedTogether         = Event{3142, "startedTogether", Info, "Most entries started together with this one; for some seconds, requests wait only as long as they can meet their latency target."}
 	KeyTableFull            = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver              = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed          = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
