Report failures to query a program's flags, and the owner in explain

The soak test took a program whose flags could not be queried for one without a gateway, without a word; the error is in the fault log now. The longest cold time was stated twice.

--- a/cmd/magnolialedge/explain.go
+++ b/cmd/magnolialedge/explain.go
@@ -184,10 +184,10 @@
 	}
 	grant := "this entry had no credits yet"
 	if age := fields["grantAgeMs"]; age != "-1" {
-		grant = "the last credits were granted " + age + " ms before"
+		grant = "the last credits were granted " + age + " ms before by " + cmp.Or(fields["accountOwner"], "an unknown entry")
 	}
-	return fmt.Sprintf("refused for account %s, whose limit is %s a second; this entry had %s requests a second of it and a share of %s; %s by %s",
-		fields["account"], fields["accountLimit"], fields["accountUse"], fields["accountShare"], grant, cmp.Or(fields["accountOwner"], "no owner"))
+	return fmt.Sprintf("refused for account %s, whose limit is %s a second; this entry received %s requests a second of the account, and its share of the limit was %s a second; %s",
+		fields["account"], fields["accountLimit"], fields["accountUse"], fields["accountShare"], grant)
 }
 
 // formatContact describes how the entry reached the upstreams of the service.
--- a/cmd/magnolialedge/explain_test.go
+++ b/cmd/magnolialedge/explain_test.go
@@ -45,7 +45,7 @@
 func TestReportOfRefusalNamesTheLimitOfTheAccount(t *testing.T) {
 	lines, err := parseLog(strings.NewReader("event=3101 requestId=r1 result=overQuota account=shop accountLimit=20 accountOwner=e7 accountShare=1.5 accountUse=9.25 grantAgeMs=412\n"))
 	require.NoError(t, err)
-	require.Contains(t, requestReport("r1", lines), "refused for account shop, whose limit is 20 a second; this entry had 9.25 requests a second of it and a share of 1.5; the last credits were granted 412 ms before by e7")
+	require.Contains(t, requestReport("r1", lines), "refused for account shop, whose limit is 20 a second; this entry received 9.25 requests a second of the account, and its share of the limit was 1.5 a second; the last credits were granted 412 ms before by e7")
 }
 
 func TestEmptyRequestIDIsAnError(t *testing.T) {
--- a/io/link/report.go
+++ b/io/link/report.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
+	"magnolialedge/core/pick"
 )
 
 // Report is what an upstream says about itself in a response.
@@ -64,10 +65,6 @@
 	return r
 }
 
-// maxColdRemaining is the longest cold time that is accepted. A longer one is a mistake of
-// the upstream.
-const maxColdRemaining = time.Hour
-
 var errInvalidCold = errors.New("the response does not name one valid cold time")
 
 // parseColdRemaining parses the values of the header for the cold time: milliseconds, which
@@ -77,7 +74,7 @@
 		return 0, errors.Wrapf(errInvalidCold, "%d values", len(values))
 	}
 	ms, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
-	if err != nil || math.IsNaN(ms) || ms < 0 || ms > float64(maxColdRemaining.Milliseconds()) {
+	if err != nil || math.IsNaN(ms) || ms < 0 || ms > float64(pick.MaxColdTime.Milliseconds()) {
 		return 0, errors.Wrapf(errInvalidCold, "value %.40q", values[0])
 	}
 	return time.Duration(ms * float64(time.Millisecond)), nil
--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -23,9 +23,12 @@
 const gatewayFlag = "--upstream-gateway"
 
 // hasGatewayFlag reports whether a program has gatewayFlag.
-func hasGatewayFlag(binary string) bool {
+func hasGatewayFlag(binary string) (bool, error) {
 	help, err := exec.Command(binary, "serve", "--help").Output()
-	return err == nil && strings.Contains(string(help), gatewayFlag)
+	if err != nil {
+		return false, errors.Wrap(err, "query the flags of the program")
+	}
+	return strings.Contains(string(help), gatewayFlag), nil
 }
 
 // startProcess starts an entry with the given settings file, and writes its output
--- a/io/soak/release.go
+++ b/io/soak/release.go
@@ -49,7 +49,9 @@
 	if release == ReleasePrevious {
 		binary = cl.cfg.PreviousBinary
 	}
-	e.setBinary(binary)
+	if err := e.setBinary(binary); err != nil {
+		fmt.Fprintf(cl.cfg.FaultLog, "%s %s: %v\n", time.Now().Format(time.StampMilli), e.settings.Name, err)
+	}
 	cl.countStart(release)
 	fmt.Fprintf(cl.cfg.FaultLog, "%s %s starts next with the %s release\n", time.Now().Format(time.StampMilli), e.settings.Name, release)
 }
@@ -61,12 +63,14 @@
 	cl.starts[release]++
 }
 
-// setBinary sets the program with which the entry starts next.
-func (e *entry) setBinary(binary string) {
-	hasGateway := hasGatewayFlag(binary)
+// setBinary sets the program with which the entry starts next. If it returns an error, the
+// entry starts without a gateway to the upstreams.
+func (e *entry) setBinary(binary string) error {
+	hasGateway, err := hasGatewayFlag(binary)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.binary, e.hasNoGateway = binary, !hasGateway
+	return err
 }
 
 // rollOut restarts the entries in random order with the release that they did not run at
