Tell requests to hand over apart from handovers to accept

mayHandOver meant that a request may be handed to another entry in io/serve, and that a peer may hand requests to this one in io/node; the latter is acceptsHandoversFrom. The first protocols of each feature have names of one form, and the dump's fields for accounts and their limits too; the names in the JSON are the same.

--- a/cmd/standin/evacuate.go
+++ b/cmd/standin/evacuate.go
@@ -7,7 +7,7 @@
 	"magnolialedge/platform/stand"
 )
 
-// evacuateOptions evacuate an availability zone for some time.
+// evacuateOptions are the options for an evacuation of an availability zone.
 type evacuateOptions struct {
 	EvacuateZone  string        `name:"evacuate" help:"Availability zone to evacuate; empty for none."`
 	EvacuateAfter time.Duration `help:"Time from the start of the entries to the evacuation." default:"1s"`
--- a/core/acct/credit.go
+++ b/core/acct/credit.go
@@ -108,7 +108,8 @@
 }
 
 // ownerGroups is the number of groups of accounts. The accounts of a group have the same
-// candidates and as a rule the same owner, so that a holder asks for the credits of several in one message.
+// candidates and as a rule the same owner, so that a holder asks for the credits of several
+// in one message.
 const ownerGroups = 4
 
 // groupOf returns the key by which the owner of an account is chosen.
--- a/core/acct/quorum.go
+++ b/core/acct/quorum.go
@@ -17,8 +17,9 @@
 }
 
 // Quorum holds the votes that this entry has given and received. The owner of an account is
-// the candidate with the votes of a majority of its candidates. An entry gives one vote for an account at a time, so that there are
-// never two owners among the same candidates. It is not safe for concurrent use.
+// the candidate with the votes of a majority of its candidates. An entry gives one vote for an
+// account at a time, so that there are never two owners among the same candidates. It is not
+// safe for concurrent use.
 type Quorum struct {
 	self Run
 	// silentUntil is when this run begins to vote. An earlier run of the entry may have
--- a/core/pick/turn.go
+++ b/core/pick/turn.go
@@ -117,7 +117,7 @@
 	)
 }
 
-// order returns the positions of waiters, in the order in which they are woken. Waiters of
+// order returns the positions of waiters in the order in which they are woken. Waiters of
 // equal position keep their order.
 func (q *Queue) order(now time.Time, waiters []*Waiter, f *Fleet) []position {
 	positions := make([]position, len(waiters))
--- a/io/node/credit_dump.go
+++ b/io/node/credit_dump.go
@@ -8,8 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// accountDump describes a client account with a limit in the state dump.
-type accountDump struct {
+// accountLimitDump describes a client account with a limit in the state dump.
+type accountLimitDump struct {
 	Account string  `json:"account"`
 	Limit   float64 `json:"ratePerSecond"`
 	Burst   float64 `json:"burst"`
@@ -34,17 +34,17 @@
 
 // dump returns the accounts with a limit that have had requests here or that this entry
 // owns, in order.
-func (c *credits) dump(now time.Time) []accountDump {
+func (c *credits) dump(now time.Time) []accountLimitDump {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	buckets := map[string]*bucketDump{}
 	for _, o := range c.granter.Owned(now) {
 		buckets[o.Account] = &bucketDump{Tokens: o.Tokens, Outstanding: o.Outstanding}
 	}
-	out := []accountDump{}
+	out := []accountLimitDump{}
 	for _, name := range slices.Sorted(maps.Keys(c.limits)) {
 		limit, standing := c.limits[name], c.holder.Standing(now, name)
-		d := accountDump{
+		d := accountLimitDump{
 			Account: name, Limit: limit.Rate, Burst: limit.Burst, Owner: c.owners[name],
 			Credits: standing.Left, Use: standing.Rate, Share: standing.Share, GrantAgeMs: standing.GrantAgeMs(), Bucket: buckets[name],
 		}
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -94,8 +94,8 @@
 	Cold []coldUpstream `json:"cold,omitempty"`
 	// Accounts holds the client accounts, or is missing if there are none.
 	Accounts []serve.AccountState `json:"accounts,omitempty"`
-	// Limits holds the client accounts with a limit, and their credits.
-	Limits []accountDump `json:"accountLimits,omitempty"`
+	// AccountLimits holds the client accounts with a limit, and their credits.
+	AccountLimits []accountLimitDump `json:"accountLimits,omitempty"`
 	// Admission holds what is refused because of its priority, by service.
 	Admission any `json:"admission"`
 	Members   any `json:"members"`
@@ -107,19 +107,19 @@
 	e.GET(metricsPath, echo.WrapHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	e.GET(dumpPath, func(c echo.Context) error {
 		return c.JSON(http.StatusOK, dump{
-			Name:      n.settings.Name,
-			Version:   n.forwarder.Version(),
-			Revision:  n.follower.Revision(),
-			AgeMs:     n.follower.Staleness(time.Now()).Milliseconds(),
-			InFlight:  n.inFlight(),
-			Leaving:   n.isLeaving.Load(),
-			Isolated:  n.forwarder.IsIsolated(),
-			Evacuated: n.evacuations.list(),
-			Members:   n.members.list(),
-			Cold:      n.coldUpstreams(),
-			Accounts:  n.forwarder.AccountStates(),
-			Limits:    n.credits.dump(time.Now()),
-			Admission: n.forwarder.AdmissionLevels(),
+			Name:          n.settings.Name,
+			Version:       n.forwarder.Version(),
+			Revision:      n.follower.Revision(),
+			AgeMs:         n.follower.Staleness(time.Now()).Milliseconds(),
+			InFlight:      n.inFlight(),
+			Leaving:       n.isLeaving.Load(),
+			Isolated:      n.forwarder.IsIsolated(),
+			Evacuated:     n.evacuations.list(),
+			Members:       n.members.list(),
+			Cold:          n.coldUpstreams(),
+			Accounts:      n.forwarder.AccountStates(),
+			AccountLimits: n.credits.dump(time.Now()),
+			Admission:     n.forwarder.AdmissionLevels(),
 		})
 	})
 	return e
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -38,7 +38,7 @@
 	if !strings.EqualFold(c.Request().Header.Get("Upgrade"), handoverProtocol) {
 		return c.NoContent(http.StatusUpgradeRequired)
 	}
-	if !n.mayHandOver(c.Request().RemoteAddr) {
+	if !n.acceptsHandoversFrom(c.Request().RemoteAddr) {
 		return c.NoContent(http.StatusForbidden)
 	}
 	netConn, _, err := http.NewResponseController(c.Response()).Hijack()
--- a/io/node/handover_peer.go
+++ b/io/node/handover_peer.go
@@ -28,10 +28,10 @@
 // know this entry.
 var errUnknownPeer = errors.New("the peer does not know this entry")
 
-// mayHandOver reports whether a peer may hand requests to this entry, and logs a refusal.
+// acceptsHandoversFrom reports whether a peer may hand requests to this entry, and logs a refusal.
 // With client accounts, an entry relies on the account that the peer found, so the
 // peer must have the address of a known entry.
-func (n *Node) mayHandOver(remoteAddress string) bool {
+func (n *Node) acceptsHandoversFrom(remoteAddress string) bool {
 	if !n.forwarder.HasAccounts() {
 		return true
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -130,13 +130,13 @@
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
 	n.helperPool = link.NewPool(link.PoolConfig{Dialer: n.newHandoverDialer(), Headers: cfg.Headers})
 	n.forwarder = serve.NewForwarder(serve.Config{
-		Name:        s.Name,
-		Helpers:     n.members.helpers,
-		HelperPool:  n.helperPool,
-		MaxHanded:   int(float64(s.MaxFDs) * handedFDRatio),
-		OnIsolated:  n.members.setIsolated,
-		MayHandOver: n.mayHandOver,
-		AskPeer:     n.askPeer,
+		Name:                 s.Name,
+		Helpers:              n.members.helpers,
+		HelperPool:           n.helperPool,
+		MaxHanded:            int(float64(s.MaxFDs) * handedFDRatio),
+		OnIsolated:           n.members.setIsolated,
+		AcceptsHandoversFrom: n.acceptsHandoversFrom,
+		AskPeer:              n.askPeer,
 		Fleet: pick.NewFleet(pick.Config{
 			Zone:          s.Zone,
 			Regions:       s.Regions,
--- a/io/serve/cold.go
+++ b/io/serve/cold.go
@@ -61,7 +61,8 @@
 }
 
 // applyColdChanges logs the cold times that began or ended, dispatches the waiting requests
-// of their services, and waits for the next end. The caller holds f.mu.
+// of their services, and waits for the next end. from names the source of the change in the log.
+// The caller holds f.mu.
 func (f *Forwarder) applyColdChanges(from string) {
 	changes, next := f.fleet.ColdChanges(time.Now())
 	services := map[string]bool{}
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -39,9 +39,9 @@
 	// MaxHanded limits the requests in progress that other entries handed to this one;
 	// 0 means no limit.
 	MaxHanded int
-	// MayHandOver reports whether the peer at an address may hand requests to this entry. If
-	// it is nil, each may.
-	MayHandOver func(remoteAddress string) bool
+	// AcceptsHandoversFrom reports whether the peer at an address may hand requests to this
+	// entry. If it is nil, each may.
+	AcceptsHandoversFrom func(remoteAddress string) bool
 	// OnIsolated is called when this entry begins or ceases to reach no upstream. It must
 	// not block.
 	OnIsolated func(bool)
--- a/io/serve/handed.go
+++ b/io/serve/handed.go
@@ -71,7 +71,7 @@
 	}
 	return x.serve(func() *front.Response {
 		// The connection may be older than the client accounts.
-		if h.cfg.MayHandOver != nil && !h.cfg.MayHandOver(r.RemoteAddr) {
+		if h.cfg.AcceptsHandoversFrom != nil && !h.cfg.AcceptsHandoversFrom(r.RemoteAddr) {
 			return x.decline(magnolialedge.KindForbidden)
 		}
 		if !h.beginHanded() {
@@ -115,7 +115,8 @@
 		Route:   magnolialedge.Route{Name: h.Route, Host: r.Host, Kind: h.Kind, Priority: h.Priority, LatencyTargetMs: h.LatencyTargetMs, MaxAttempts: h.MaxAttempts, AllowedRegions: h.AllowedRegions},
 		Service: magnolialedge.RoutedService{Name: h.Service, HealthPath: f.healthPathOf(h.Service, "/")},
 	}
-	// Checked by this version as well, since an entry of protocol 0 hands over no regions.
+	// refresh then also applies the allowed regions of the routes here, unless they are older,
+	// because an entry of protocol 0 hands over no regions.
 	x.version = h.Version - 1
 	x.sentAttempts = h.Attempts
 	x.isCounted = h.IsCounted
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -182,7 +182,7 @@
 	if !ok || !commit {
 		return c, ok
 	}
-	if !c.IsFresh(time.Now()) || !f.takeRetry(time.Now(), x.pickReq) {
+	if !c.IsFresh(time.Now()) || !f.withdrawRetryLocked(time.Now(), x.pickReq) {
 		return c, false
 	}
 	f.fleet.BeginAttempt(time.Now(), c.ID)
--- a/io/serve/region.go
+++ b/io/serve/region.go
@@ -7,9 +7,9 @@
 	"magnolialedge/core/pick"
 )
 
-// minRegionProtocol is the lowest protocol of an entry that heeds the allowed regions of a
-// request that is handed to it.
-const minRegionProtocol = 1
+// regionProtocol is the first version of the messages between entries that has allowed
+// regions.
+const regionProtocol = 1
 
 // SetEvacuated begins or ends the evacuation of an availability zone, and reports whether this
 // is a change. Requests in flight at the upstreams of the zone are completed; waiting requests
@@ -137,6 +137,6 @@
 // restrictions may be handed.
 func mayBeHandedTo(regions []string) func(magnolialedge.Instance) bool {
 	return func(in magnolialedge.Instance) bool {
-		return regions == nil || (in.Protocol >= minRegionProtocol && magnolialedge.PermitsRegion(regions, in.Region))
+		return regions == nil || (in.Protocol >= regionProtocol && magnolialedge.PermitsRegion(regions, in.Region))
 	}
 }
--- a/io/serve/retry.go
+++ b/io/serve/retry.go
@@ -27,13 +27,13 @@
 func (f *Forwarder) withdrawRetry(req pick.Request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.takeRetry(time.Now(), req)
+	return f.withdrawRetryLocked(time.Now(), req)
 }
 
-// takeRetry draws on the retry budget. If requests of several ranks arrive for the
+// withdrawRetryLocked draws on the retry budget, and reports whether it allows a retry. If requests of several ranks arrive for the
 // service, the last third of the budget is for the most urgent ones that can still meet
 // their latency target. The caller holds f.mu.
-func (f *Forwarder) takeRetry(now time.Time, req pick.Request) bool {
+func (f *Forwarder) withdrawRetryLocked(now time.Time, req pick.Request) bool {
 	budget, gate := f.retryBudget(req.Service), f.gateOf(req.Service)
 	if !f.hasAdmission() || !gate.HasSeveral(now) || (gate.IsMostUrgent(now, rankOf(req)) && f.fleet.CanMeetTarget(now, req)) {
 		return budget.Withdraw()
