--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -60,7 +60,7 @@
 	e.GET(handoverPath, n.acceptHandovers)
 	e.POST(endReportPath, n.handleEndReport)
 	e.POST(limitReportPath, n.handleLimitReport)
-	quotas := &creditHandler{credits: n.credits, log: n.log, loggedAt: map[string]time.Time{}}
+	quotas := &creditHandler{credits: n.credits, log: n.log}
 	e.POST(creditPath, quotas.handleDraw)
 	e.POST(votePath, quotas.handleVote)
 	e.POST(memberPath, func(c echo.Context) error {
@@ -94,8 +94,8 @@
 	Cold []coldUpstream `json:"cold,omitempty"`
 	// Accounts holds the client accounts, or is missing if there are none.
 	Accounts []serve.AccountState `json:"accounts,omitempty"`
-	// Limits holds the client accounts with a limit, and their credits.
-	Limits []accountDump `json:"accountLimits,omitempty"`
+	// AccountLimits holds the client accounts with a limit, and their credits.
+	AccountLimits []accountLimitDump `json:"accountLimits,omitempty"`
 	// Admission holds what is refused because of its priority, by service.
 	Admission any `json:"admission"`
 	Members   any `json:"members"`
@@ -107,19 +107,19 @@
 	e.GET(metricsPath, echo.WrapHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	e.GET(dumpPath, func(c echo.Context) error {
 		return c.JSON(http.StatusOK, dump{
-			Name:      n.settings.Name,
-			Version:   n.forwarder.Version(),
-			Revision:  n.follower.Revision(),
-			AgeMs:     n.follower.Staleness(time.Now()).Milliseconds(),
-			InFlight:  n.inFlight(),
-			Leaving:   n.isLeaving.Load(),
-			Isolated:  n.forwarder.IsIsolated(),
-			Evacuated: n.evacuations.list(),
-			Members:   n.members.list(),
-			Cold:      n.coldUpstreams(),
-			Accounts:  n.forwarder.AccountStates(),
-			Limits:    n.credits.dump(time.Now()),
-			Admission: n.forwarder.AdmissionLevels(),
+			Name:          n.settings.Name,
+			Version:       n.forwarder.Version(),
+			Revision:      n.follower.Revision(),
+			AgeMs:         n.follower.Staleness(time.Now()).Milliseconds(),
+			InFlight:      n.inFlight(),
+			Leaving:       n.isLeaving.Load(),
+			Isolated:      n.forwarder.IsIsolated(),
+			Evacuated:     n.evacuations.list(),
+			Members:       n.members.list(),
+			Cold:          n.coldUpstreams(),
+			Accounts:      n.forwarder.AccountStates(),
+			AccountLimits: n.credits.dump(time.Now()),
+			Admission:     n.forwarder.AdmissionLevels(),
 		})
 	})
 	return e
@@ -178,7 +178,7 @@
 func (n *Node) post(address, path string, body []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	resp, err := n.send(ctx, address, path, body)
+	resp, err := postMessage(ctx, n.peerClient, address, path, body)
 	if err != nil {
 		n.log.Log(event.PeerUnreachable, "peer", address, "err", err)
 		return
@@ -186,11 +186,11 @@
 	_ = resp.Body.Close()
 }
 
-// send posts a message to another entry. The caller closes the body of the response.
-func (n *Node) send(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
+// postMessage posts a message to another entry. The caller closes the body of the response.
+func postMessage(ctx context.Context, client *http.Client, address, path string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	return n.peerClient.Do(req)
+	return client.Do(req)
 }
