Admit waiting requests whose limit ends, and keep deadlines while they wait for credits

Cause: found by reading: a request that waited for credits got 503 when the limit of its account was removed; the wait ignored the request's deadline; the candidates, which are the same for all accounts of a group, were sorted for each account ten times a second.

Change: waiting requests are woken by the configuration and admitted; the deadline applies to the wait; candidates are cached by group.

--- a/core/acct/credit.go
+++ b/core/acct/credit.go
@@ -112,15 +112,16 @@
 // in one message.
 const ownerGroups = 4
 
-// groupOf returns the key by which the owner of an account is chosen.
-func groupOf(account string) string {
+// GroupOf returns the key by which the owner of an account is chosen. The accounts of a group
+// have the same Candidates.
+func GroupOf(account string) string {
 	return "credits/" + strconv.FormatUint(xxhash.Sum64String(account)%ownerGroups, 10)
 }
 
 // Candidates returns the entries that may own an account, the preferred one first: the
 // first OwnerCandidates live entries that grant credits by rendezvous hash of the account's group.
 func Candidates(all []magnolialedge.Instance, account string) []magnolialedge.Instance {
-	group := groupOf(account)
+	group := GroupOf(account)
 	keys := make([]ownerKey, 0, len(all))
 	for _, in := range all {
 		if in.Protocol >= creditProtocol && !in.Leaving {
--- a/io/node/credit_admit.go
+++ b/io/node/credit_admit.go
@@ -56,6 +56,10 @@
 		case <-ctx.Done():
 		}
 		c.mu.Lock()
+		if _, ok := c.limits[account]; !ok {
+			c.holder.Abandon(account)
+			return acct.Admitted, 0
+		}
 		if verdict, retryAfter := c.holder.Resume(time.Now(), account); verdict != acct.Waiting {
 			return verdict, retryAfter
 		}
--- a/io/node/credits.go
+++ b/io/node/credits.go
@@ -70,7 +70,7 @@
 	// the next reply, and waiting is their number.
 	replied map[string]chan struct{}
 	waiting int
-	// candidates caches the candidates of the accounts, and instances the entries.
+	// candidates caches the candidates by group of accounts, and instances the entries.
 	candidates  map[string][]string
 	instances   map[string]magnolialedge.Instance
 	candidateAt time.Time
@@ -112,6 +112,12 @@
 	keep := func(account string) bool { _, ok := limits[account]; return ok }
 	maps.DeleteFunc(c.owners, func(account, _ string) bool { return !keep(account) })
 	maps.DeleteFunc(c.exhaustedLoggedAt, func(account string, _ time.Time) bool { return !keep(account) })
+	for account, ch := range c.replied {
+		if !keep(account) {
+			close(ch)
+			delete(c.replied, account)
+		}
+	}
 }
 
 // run renews credits and votes until ctx is done.
@@ -168,14 +174,15 @@
 // candidatesOf returns the names of the entries that may own an account. The caller holds
 // c.mu.
 func (c *credits) candidatesOf(account string) []string {
-	if names, ok := c.candidates[account]; ok {
+	group := acct.GroupOf(account)
+	if names, ok := c.candidates[group]; ok {
 		return names
 	}
 	names := []string{}
 	for _, in := range acct.Candidates(slices.Collect(maps.Values(c.instances)), account) {
 		names = append(names, in.Name)
 	}
-	c.candidates[account] = names
+	c.candidates[group] = names
 	return names
 }
 
--- a/io/node/credits_test.go
+++ b/io/node/credits_test.go
@@ -174,3 +174,12 @@
 	}
 	b.ReportMetric(float64(admitted)/float64(b.N), "admitted/op")
 }
+
+// Guards against a request that is refused because no owner replies although the limit of
+// its account was removed while it waited.
+func TestRequestWaitingForCreditsIsAdmittedWhenItsLimitIsRemoved(t *testing.T) {
+	c := newCredits(time.Now(), acct.Run{Name: "a", StartedAt: 1}, quotaBound(Settings{}), func() []magnolialedge.Instance { return nil }, nil, newCreditMetrics(prometheus.NewRegistry()), event.Logger{})
+	c.setRouting(magnolialedge.RoutingConfig{Version: 1, Accounts: []magnolialedge.ClientAccount{{Name: "x", RatePerSecond: 5, Burst: 5}}})
+	time.AfterFunc(20*time.Millisecond, func() { c.setRouting(magnolialedge.RoutingConfig{Version: 2}) })
+	require.Equal(t, acct.Admitted, c.Admit(t.Context(), "x").Verdict)
+}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -169,14 +169,14 @@
 	case hasNoAllowedRegion(x.pickReq):
 		return x.rejectForShortage(magnolialedge.KindNoAllowedRegion)
 	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
 	if resp := x.admitQuota(ctx); resp != nil {
 		return resp
 	}
 	if left, refused := x.f.quarantinedFor(x.fingerprint); refused {
 		return x.reject(magnolialedge.KindQuarantined, left)
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
-	defer cancel()
 	if x.mayHandOver() && !x.f.allowsDirect(x.pickReq.Service) {
 		if resp := x.handOver(ctx); resp != nil {
 			return resp
