--- a/io/node/credits.go
+++ b/io/node/credits.go
@@ -16,12 +16,11 @@
 )
 
 const (
-	// creditTick is the time between two checks for credits and votes to renew, and
-	// waitingTick the same while requests wait for credits.
+	// creditTick is the time between two checks for credits and votes to renew. waitingTick
+	// replaces it while requests wait for credits, and idleTick while no account has a limit.
 	creditTick  = 50 * time.Millisecond
 	waitingTick = 5 * time.Millisecond
-	// idleTick replaces creditTick while no account has a limit.
-	idleTick = time.Minute
+	idleTick    = time.Minute
 	// candidatesTTL is how long the candidates of an account are cached.
 	candidatesTTL = 100 * time.Millisecond
 	// ballotTimeout limits asking another candidate for its vote.
@@ -29,8 +28,8 @@
 	// exhaustedLogInterval is the shortest time between two log lines about an exhausted
 	// account.
 	exhaustedLogInterval = time.Second
-	// defaultQuotaWindow, defaultQuotaOverage and defaultQuotaSlack apply if the settings
-	// do not state the bound.
+	// defaultQuotaWindow, defaultQuotaOverage, a fraction, and defaultQuotaSlack, in requests,
+	// apply if the settings do not state the bound.
 	defaultQuotaWindow  = 5 * time.Second
 	defaultQuotaOverage = 0.1
 	defaultQuotaSlack   = 20
@@ -61,23 +60,24 @@
 	wake    chan struct{}
 
 	// mu guards the fields below. It is never held during I/O.
-	mu      sync.Mutex
-	holder  *acct.Holder
-	asker   *acct.Asker
-	seat    *acct.Seat
-	version int64
-	limits  map[string]acct.Limit
+	mu        sync.Mutex
+	holder    *acct.Holder
+	scheduler *acct.DrawScheduler
+	granter   *acct.Granter
+	version   int64
+	limits    map[string]acct.Limit
 	// replied holds a channel for each account with waiting requests, which is closed at
 	// the next reply, and waiting is their number.
 	replied map[string]chan struct{}
 	waiting int
-	// candidates caches the candidates of the accounts, and instances the entries.
+	// candidates caches the candidates by group of accounts, and instances the entries.
 	candidates  map[string][]string
 	instances   map[string]magnolialedge.Instance
 	candidateAt time.Time
 	// owners holds the entry that last granted credits, by account.
 	owners            map[string]string
 	exhaustedLoggedAt map[string]time.Time
+	lost              peerLogLimiter
 }
 
 func newCredits(now time.Time, self acct.Run, bound acct.Bound, members func() []magnolialedge.Instance, peers creditPeers, metrics *creditMetrics, log event.Logger) *credits {
@@ -86,8 +86,8 @@
 		self: self, members: members, peers: peers, log: log, metrics: metrics,
 		wake:              make(chan struct{}, 1),
 		holder:            h,
-		asker:             acct.NewAsker(h),
-		seat:              acct.NewSeat(now, self, bound),
+		scheduler:         acct.NewDrawScheduler(h),
+		granter:           acct.NewGranter(now, self, bound),
 		limits:            map[string]acct.Limit{},
 		replied:           map[string]chan struct{}{},
 		candidates:        map[string][]string{},
@@ -112,6 +112,12 @@
 	keep := func(account string) bool { _, ok := limits[account]; return ok }
 	maps.DeleteFunc(c.owners, func(account, _ string) bool { return !keep(account) })
 	maps.DeleteFunc(c.exhaustedLoggedAt, func(account string, _ time.Time) bool { return !keep(account) })
+	for account, ch := range c.replied {
+		if !keep(account) {
+			close(ch)
+			delete(c.replied, account)
+		}
+	}
 }
 
 // run renews credits and votes until ctx is done.
@@ -137,8 +143,8 @@
 		return idleTick
 	}
 	c.refreshCandidates(now)
-	c.sendBallots(c.seat.Renew(now, c.candidatesOf))
-	for _, m := range c.asker.Messages(now, c.candidatesOf) {
+	c.sendBallots(c.granter.Renew(now, c.candidatesOf))
+	for _, m := range c.scheduler.Messages(now, c.candidatesOf) {
 		c.send(now, m)
 	}
 	c.holder.Forget(now)
@@ -148,7 +154,8 @@
 	return creditTick
 }
 
-// refreshCandidates drops the cached candidates when they are old.
+// refreshCandidates drops the cached candidates and lists the entries again if that was done
+// longer than candidatesTTL ago. The caller holds c.mu.
 func (c *credits) refreshCandidates(now time.Time) {
 	if now.Sub(c.candidateAt) < candidatesTTL {
 		return
@@ -159,7 +166,7 @@
 	for _, in := range c.members() {
 		c.instances[in.Name] = in
 		if in.Leaving {
-			c.seat.Forget(acct.Run{Name: in.Name, StartedAt: in.StartedAt})
+			c.granter.Forget(acct.Run{Name: in.Name, StartedAt: in.StartedAt})
 		}
 	}
 }
@@ -167,14 +174,15 @@
 // candidatesOf returns the names of the entries that may own an account. The caller holds
 // c.mu.
 func (c *credits) candidatesOf(account string) []string {
-	if names, ok := c.candidates[account]; ok {
+	group := acct.GroupOf(account)
+	if names, ok := c.candidates[group]; ok {
 		return names
 	}
 	names := []string{}
 	for _, in := range acct.Candidates(slices.Collect(maps.Values(c.instances)), account) {
 		names = append(names, in.Name)
 	}
-	c.candidates[account] = names
+	c.candidates[group] = names
 	return names
 }
 
@@ -195,7 +203,7 @@
 		defer c.mu.Unlock()
 		if err != nil {
 			c.recordLost(to, err)
-			c.asker.Failed(time.Now(), m)
+			c.scheduler.Failed(time.Now(), m)
 			c.signal()
 			return
 		}
@@ -203,18 +211,23 @@
 	}()
 }
 
-// recordLost counts a message without a reply. A refused connection shows that the run of
-// the other entry has ended.
+// recordLost counts a message without a reply, and logs it at most once per peerLogInterval
+// and peer. A refused connection shows that the run of the other entry has ended. The caller
+// holds c.mu.
 func (c *credits) recordLost(to magnolialedge.Instance, err error) {
 	c.metrics.messages.WithLabelValues("lost").Inc()
+	if c.lost.shouldLog(time.Now(), to.Name) {
+		c.log.Log(event.PeerUnreachable, "peer", to.PeerAddress, "err", err)
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		c.seat.Forget(acct.Run{Name: to.Name, StartedAt: to.StartedAt})
+		c.granter.Forget(acct.Run{Name: to.Name, StartedAt: to.StartedAt})
 	}
 }
 
-// finish applies the replies to a message and wakes the requests that wait.
+// finish applies the replies to a message and wakes the requests that wait. The caller holds
+// c.mu.
 func (c *credits) finish(now time.Time, m acct.Message, replies map[string]acct.Reply) {
-	c.asker.Done(now, m, replies)
+	c.scheduler.Done(now, m, replies)
 	for _, d := range m.Draws {
 		if r, ok := replies[d.Account]; ok && r.Status == acct.Granted {
 			c.recordOwner(d.Account, m.Owner)
@@ -229,7 +242,8 @@
 	c.signal()
 }
 
-// recordOwner logs that another entry than before grants the credits of an account.
+// recordOwner records which entry grants the credits of an account, and logs a change. The
+// caller holds c.mu.
 func (c *credits) recordOwner(account, owner string) {
 	before := c.owners[account]
 	if before == owner {
@@ -245,7 +259,7 @@
 func (c *credits) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seat.Resign()
+	c.granter.Resign()
 }
 
 // signal makes run tick soon.
@@ -267,7 +281,7 @@
 			replies[d.Account] = replyWithoutLimit(d, version, c.version)
 			continue
 		}
-		reply, ballots := c.seat.Draw(now, d, limit, c.candidatesOf(d.Account))
+		reply, ballots := c.granter.Draw(now, d, limit, c.candidatesOf(d.Account))
 		replies[d.Account] = reply
 		c.sendBallots(ballots)
 	}
@@ -295,6 +309,7 @@
 	}
 }
 
+// askVotes sends ballots to another candidate and applies the results.
 func (c *credits) askVotes(sentAt time.Time, to magnolialedge.Instance, ballots []acct.Ballot) {
 	ctx, cancel := context.WithTimeout(context.Background(), ballotTimeout)
 	defer cancel()
@@ -308,7 +323,7 @@
 	for _, b := range ballots {
 		r := results[b.Account]
 		r.Ballot, r.SentAt, r.Reached = b, sentAt, err == nil
-		c.sendBallots(c.seat.Count(now, r, c.candidatesOf(b.Account)))
+		c.sendBallots(c.granter.Count(now, r, c.candidatesOf(b.Account)))
 	}
 	c.signal()
 }
@@ -327,84 +342,8 @@
 	c.refreshCandidates(now)
 	results := make([]acct.BallotResult, 0, len(ballots))
 	for _, b := range ballots {
-		isGiven, isRepeated := c.seat.Vote(now, b, c.candidatesOf(b.Account))
+		isGiven, isRepeated := c.granter.Vote(now, b, c.candidatesOf(b.Account))
 		results = append(results, acct.BallotResult{Ballot: b, Voted: isGiven, IsRepeated: isRepeated})
 	}
 	return results
 }
-
-// Admit implements serve.AccountQuotas.
-func (c *credits) Admit(ctx context.Context, account string) acct.Admission {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	limit, ok := c.limits[account]
-	if !ok {
-		return acct.Admission{Verdict: acct.Admitted}
-	}
-	verdict, retryAfter := c.holder.Take(now, account)
-	if verdict == acct.Waiting {
-		verdict, retryAfter = c.await(ctx, account)
-		now = time.Now()
-	} else if c.holder.IsDue(now, account) {
-		c.signal()
-	}
-	if verdict == acct.Admitted {
-		return acct.Admission{Verdict: verdict}
-	}
-	a := acct.Admission{Verdict: verdict, RetryAfter: retryAfter, Limit: limit, Owner: c.owners[account], Standing: c.holder.Standing(now, account)}
-	c.recordRefusal(now, account, a)
-	return a
-}
-
-// await waits until a reply decides on a request, for AskTimeout at most. The caller holds
-// c.mu, which is released meanwhile.
-func (c *credits) await(ctx context.Context, account string) (acct.Verdict, time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, acct.AskTimeout)
-	defer cancel()
-	start := time.Now()
-	c.waiting++
-	defer func() {
-		c.waiting--
-		c.metrics.wait.Observe(time.Since(start).Seconds())
-	}()
-	for {
-		ch, ok := c.replied[account]
-		if !ok {
-			ch = make(chan struct{})
-			c.replied[account] = ch
-		}
-		c.signal()
-		c.mu.Unlock()
-		select {
-		case <-ch:
-		case <-ctx.Done():
-		}
-		c.mu.Lock()
-		if verdict, retryAfter := c.holder.Resume(time.Now(), account); verdict != acct.Waiting {
-			return verdict, retryAfter
-		}
-		if ctx.Err() != nil {
-			c.holder.Abandon(account)
-			return acct.Unavailable, 0
-		}
-	}
-}
-
-// recordRefusal counts a refused request, and logs one per account and second.
-func (c *credits) recordRefusal(now time.Time, account string, a acct.Admission) {
-	if a.Verdict == acct.Unavailable {
-		c.metrics.requests.WithLabelValues("unavailable").Inc()
-	} else {
-		c.metrics.requests.WithLabelValues("overQuota").Inc()
-	}
-	if now.Sub(c.exhaustedLoggedAt[account]) < exhaustedLogInterval {
-		return
-	}
-	c.exhaustedLoggedAt[account] = now
-	e := event.QuotaExhausted
-	if a.Verdict == acct.Unavailable {
-		e = event.QuotaOwnerUnreachable
-	}
-	c.log.Log(e, "account", account, "owner", a.Owner, "limit", a.Limit.Rate, "share", a.Standing.Share, "use", a.Standing.Rate, "grantAgeMs", a.Standing.GrantAgeMs())
-}
--- a/io/node/credits_test.go
+++ b/io/node/credits_test.go
@@ -38,7 +38,7 @@
 	for i := range n {
 		run := acct.Run{Name: string(rune('a' + i)), StartedAt: 1}
 		c := newCredits(time.Now(), run, quotaBound(Settings{}), list, creditClient{client: http.DefaultClient, self: run}, newCreditMetrics(prometheus.NewRegistry()), event.Logger{})
-		h := &creditHandler{credits: c, loggedAt: map[string]time.Time{}}
+		h := &creditHandler{credits: c}
 		e := echo.New()
 		e.POST(creditPath, h.handleDraw)
 		e.POST(votePath, h.handleVote)
@@ -117,7 +117,7 @@
 func TestInvalidCreditMessagesAreRefused(t *testing.T) {
 	c := newCredits(time.Now(), acct.Run{Name: "a"}, quotaBound(Settings{}), func() []magnolialedge.Instance { return nil }, nil, newCreditMetrics(prometheus.NewRegistry()), event.Logger{})
 	logs := &strings.Builder{}
-	h := &creditHandler{credits: c, log: event.NewLogger(logs, "a"), loggedAt: map[string]time.Time{}}
+	h := &creditHandler{credits: c, log: event.NewLogger(logs, "a")}
 	e := echo.New()
 	e.POST(creditPath, h.handleDraw)
 	for body, want := range map[string]int{
@@ -174,3 +174,12 @@
 	}
 	b.ReportMetric(float64(admitted)/float64(b.N), "admitted/op")
 }
+
+// Guards against a request that is refused because no owner replies although the limit of
+// its account was removed while it waited.
+func TestRequestWaitingForCreditsIsAdmittedWhenItsLimitIsRemoved(t *testing.T) {
+	c := newCredits(time.Now(), acct.Run{Name: "a", StartedAt: 1}, quotaBound(Settings{}), func() []magnolialedge.Instance { return nil }, nil, newCreditMetrics(prometheus.NewRegistry()), event.Logger{})
+	c.setRouting(magnolialedge.RoutingConfig{Version: 1, Accounts: []magnolialedge.ClientAccount{{Name: "x", RatePerSecond: 5, Burst: 5}}})
+	time.AfterFunc(20*time.Millisecond, func() { c.setRouting(magnolialedge.RoutingConfig{Version: 2}) })
+	require.Equal(t, acct.Admitted, c.Admit(t.Context(), "x").Verdict)
+}
--- a/io/node/handover_peer.go
+++ b/io/node/handover_peer.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// refusalLogInterval is the shortest time between two log lines about refused
-	// connections of one peer.
-	refusalLogInterval = time.Minute
+	// peerLogInterval is the shortest time between two log lines of a peerLogLimiter about
+	// one peer.
+	peerLogInterval = time.Minute
 	// maxLoggedPeers limits the peers whose last log line is remembered.
 	maxLoggedPeers = 1024
 )
@@ -28,10 +28,10 @@
 // know this entry.
 var errUnknownPeer = errors.New("the peer does not know this entry")
 
-// mayHandOver reports whether a peer may hand requests to this entry, and logs a refusal.
+// acceptsHandoversFrom reports whether a peer may hand requests to this entry, and logs a refusal.
 // With client accounts, an entry relies on the account that the peer found, so the
 // peer must have the address of a known entry.
-func (n *Node) mayHandOver(remoteAddress string) bool {
+func (n *Node) acceptsHandoversFrom(remoteAddress string) bool {
 	if !n.forwarder.HasAccounts() {
 		return true
 	}
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := n.send(ctx, address, memberPath, body)
+	resp, err := postMessage(ctx, n.peerClient, address, memberPath, body)
 	if err != nil {
 		return err
 	}
@@ -109,7 +109,7 @@
 func (l *peerLogLimiter) shouldLog(now time.Time, peer string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at, ok := l.loggedAt[peer]; ok && now.Sub(at) < refusalLogInterval {
+	if at, ok := l.loggedAt[peer]; ok && now.Sub(at) < peerLogInterval {
 		return false
 	}
 	if l.loggedAt == nil || len(l.loggedAt) >= maxLoggedPeers {
