--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"magnolialedge"
@@ -138,14 +139,15 @@
 	return effective
 }
 
-// ApplyChanges applies changes up to a position and returns those that took effect, the last
-// one of each key. Changes of another era than that of the mirror are ignored.
+// ApplyChanges applies changes up to a position and returns those that took effect, without
+// values that a later one in changes replaces. Changes of another era than that of the mirror
+// are ignored.
 func (m *Mirror) ApplyChanges(now time.Time, changes []magnolialedge.Item, p magnolialedge.Position) []magnolialedge.Item {
 	if p.Era != m.position.Era {
 		return nil
 	}
 	var effective []magnolialedge.Item
-	for _, c := range lastOfEachKey(changes) {
+	for _, c := range withoutReplaced(changes) {
 		switch {
 		case c.Deleted:
 			effective = m.applyRemoval(effective, now, c)
@@ -157,24 +159,19 @@
 	return effective
 }
 
-// lastOfEachKey returns the last change of each key, in order. When a large item changes many
-// times within a second, the versions in between would delay the last one on narrow links.
-func lastOfEachKey(changes []magnolialedge.Item) []magnolialedge.Item {
-	last := make(map[string]int, len(changes))
-	for i, c := range changes {
-		if j, ok := last[c.Key]; !ok || c.Revision >= changes[j].Revision {
-			last[c.Key] = i
-		}
-	}
-	if len(last) == len(changes) {
-		return changes
-	}
-	out := make([]magnolialedge.Item, 0, len(last))
-	for i, c := range changes {
-		if last[c.Key] == i {
+// withoutReplaced returns the changes without those whose value the next change of the key
+// replaces. When a large item changes many times within a second, the versions in between would
+// delay the last one on narrow links. Removals stay, since an entry must see its own.
+func withoutReplaced(changes []magnolialedge.Item) []magnolialedge.Item {
+	out := make([]magnolialedge.Item, 0, len(changes))
+	isReplaced := map[string]bool{}
+	for _, c := range slices.Backward(changes) {
+		if c.Deleted || !isReplaced[c.Key] {
 			out = append(out, c)
 		}
+		isReplaced[c.Key] = !c.Deleted
 	}
+	slices.Reverse(out)
 	return out
 }
 
