Log how each version of the routes reached an entry

Cause: the lines of a late change could not tell a way that had failed silently from a source that was late itself, or from a document that was taken too early.

Change: routingInForce names the source, the age of its knowledge, the entries in between and the time for which this entry had not known whether it was up to date. sourceFollowed tells when a stream from another entry begins. apply takes how a message arrived in place of single arguments; no decision changes. Tests pass the same items with one more argument.

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -35,6 +35,7 @@
 	ZoneEvacuated           = Event{2021, "zoneEvacuated", Info, "The evacuation of an availability zone began; nothing is sent to the upstreams of the zone."}
 	ZoneReturned            = Event{2022, "zoneReturned", Info, "The evacuation of an availability zone ended."}
 	EvacuationIgnored       = Event{2023, "evacuationIgnored", Warning, "The evacuation of an unknown availability zone is ignored; further ones of the zone are not logged."}
+	SourceFollowed          = Event{2024, "sourceFollowed", Info, "The entry receives the changes of the store from another entry; `ageMs` is the time since that one reached the store."}
 	UpstreamLost            = Event{3001, "upstreamLost", Warning, "A connection to an upstream broke after a request was written to it."}
 	UpstreamDraining        = Event{3002, "upstreamDraining", Info, "An upstream reported that it is draining."}
 	ConnectionStalled       = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
@@ -87,7 +88,7 @@
 		LinesDropped, AcceptFailed, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone, ManyChanges,
-		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored,
+		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored, SourceFollowed,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -37,8 +37,9 @@
 	// OnRestored receives all listed items when the store turns out to have been
 	// restored from a copy; it may be nil.
 	OnRestored func([]magnolialedge.Item)
-	// OnChange receives each change that has an effect, in order.
-	OnChange func([]magnolialedge.Item)
+	// OnChange receives each change that has an effect, in order, and how it reached
+	// this entry.
+	OnChange func([]magnolialedge.Item, Delivery)
 	// Sources returns the addresses of the peers to subscribe to, in order of
 	// preference. If there are none, this entry watches the store itself.
 	Sources func() []string
@@ -254,42 +255,41 @@
 	f.isListed = listed
 }
 
-// apply applies a message to the mirror and publishes the changes that have an
-// effect. reachedAt is when the message's origin last reached the store.
-func (f *Follower) apply(from mirror.Origin, m message, reachedAt time.Time) {
-	now := time.Now()
+// apply applies a message to the mirror and publishes the changes that have an effect.
+func (f *Follower) apply(now time.Time, a arrival, m message) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.Sub(reachedAt) < maxSourceStaleness {
+	d := a.delivery(now, f.reachedAt)
+	if now.Sub(a.reachedAt) < maxSourceStaleness {
 		f.mirror.RecordSuccess(now)
 	}
-	f.reachedAt = reachedAt
-	if f.unreachable && now.Sub(reachedAt) < maxSourceStaleness {
+	f.reachedAt, f.hops = a.reachedAt, a.hops
+	if f.unreachable && now.Sub(a.reachedAt) < maxSourceStaleness {
 		f.unreachable = false
 		f.cfg.Log.Log(event.StoreReachable, "revision", m.Revision)
 	}
 	own := f.mirror.Position()
 	if !m.Snapshot {
-		f.notify(f.mirror.ApplyChanges(now, m.Items, m.Position))
+		f.notify(f.mirror.ApplyChanges(now, m.Items, m.Position), d)
 		return
 	}
 	if m.Position.Before(own) {
 		f.cfg.Log.Log(event.OlderListIgnored, "revision", m.Revision, "era", m.Era, "ownRevision", own.Revision, "ownEra", own.Era, "items", len(m.Items))
 	}
-	effective := f.mirror.ApplySnapshot(now, from, m.Items, m.Position)
+	effective := f.mirror.ApplySnapshot(now, a.origin, m.Items, m.Position)
 	if own.Revision == 0 || m.Era <= own.Era {
-		f.notify(effective)
+		f.notify(effective, d)
 		return
 	}
 	f.cfg.Log.Log(event.StoreRestored, "era", m.Era, "previousEra", own.Era, "revision", m.Revision, "previousRevision", own.Revision, "changes", len(effective), "held", f.mirror.HeldCount())
-	f.notifyRestored(effective)
+	f.notifyRestored(effective, d)
 }
 
 // notify passes effective changes to OnChange and to the subscribers. f.mu must be
 // held, so that the changes stay in order.
-func (f *Follower) notify(changes []magnolialedge.Item) {
+func (f *Follower) notify(changes []magnolialedge.Item, d Delivery) {
 	if len(changes) > 0 {
-		f.cfg.OnChange(changes)
+		f.cfg.OnChange(changes, d)
 		f.publish(message{Items: changes, Position: f.mirror.Position()})
 	}
 }
@@ -312,7 +312,8 @@
 	for ctx.Err() == nil {
 		pause.Sleep(ctx, tickInterval)
 		f.mu.Lock()
-		f.notify(f.mirror.ExpireHeld(time.Now()))
+		now := time.Now()
+		f.notify(f.mirror.ExpireHeld(now), Delivery{Age: now.Sub(f.reachedAt), Hops: f.hops})
 		f.mu.Unlock()
 	}
 }
--- a/io/mirror/follower_test.go
+++ b/io/mirror/follower_test.go
@@ -118,7 +118,7 @@
 	present map[string]bool
 }
 
-func (k *keyRecorder) record(changes []magnolialedge.Item) {
+func (k *keyRecorder) record(changes []magnolialedge.Item, _ Delivery) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, c := range changes {
@@ -167,6 +167,8 @@
 
 func noSources() []string { return nil }
 
+func ignoreChanges([]magnolialedge.Item, Delivery) {}
+
 const waitTimeout = 2 * time.Second
 
 func TestStoreChangesReachOnChange(t *testing.T) {
@@ -313,13 +315,13 @@
 // A source names the entries that do not respond, and its subscribers learn of them
 // with the next message.
 func TestSubscribersLearnOfUnreachableEntries(t *testing.T) {
-	source := NewFollower(Config{Store: newFakeStore(), OnChange: func([]magnolialedge.Item) {}, Sources: noSources, Dialer: httpPeers{},
+	source := NewFollower(Config{Store: newFakeStore(), OnChange: ignoreChanges, Sources: noSources, Dialer: httpPeers{},
 		Unreachable: func() []string { return []string{"lost"} }, Log: event.Logger{}})
 	go source.Run(t.Context())
 	srv := httptest.NewServer(source)
 	defer srv.CloseClientConnections()
 	learned := make(chan []string, 100)
-	subscriber := NewFollower(Config{Store: newFakeStore(), OnChange: func([]magnolialedge.Item) {}, Dialer: httpPeers{},
+	subscriber := NewFollower(Config{Store: newFakeStore(), OnChange: ignoreChanges, Dialer: httpPeers{},
 		Sources:       func() []string { return []string{srv.Listener.Addr().String()} },
 		OnUnreachable: func(names []string) { learned <- names }, Log: event.Logger{}})
 	go subscriber.Run(t.Context())
--- a/io/mirror/listing.go
+++ b/io/mirror/listing.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
-	"magnolialedge/core/mirror"
 	"magnolialedge/io/pause"
 )
 
@@ -27,12 +26,12 @@
 		return err
 	}
 	f.consultPeers(ctx, items, first.Era)
-	f.apply(mirror.FromStore, message{Snapshot: true, Items: items, Position: first}, time.Now())
+	now := time.Now()
+	f.apply(now, fromStore(now), message{Snapshot: true, Items: items, Position: first})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.isListed = true
 	f.initialized = true
-	f.hops = 0
 	return nil
 }
 
@@ -81,8 +80,8 @@
 	if err := f.checkEra(page.Era, asked.Era); err != nil {
 		return err
 	}
-	f.apply(mirror.FromStore, message{Items: page.Items, Position: page.Position}, time.Now())
-	f.setHops(0)
+	now := time.Now()
+	f.apply(now, fromStore(now), message{Items: page.Items, Position: page.Position})
 	return nil
 }
 
--- a/io/mirror/malformed_test.go
+++ b/io/mirror/malformed_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"magnolialedge"
 	"magnolialedge/io/event"
 )
 
@@ -29,11 +28,11 @@
 			defer bad.Close()
 			store := newFakeStore()
 			store.set("a", false)
-			good := NewFollower(Config{Store: store, OnChange: func([]magnolialedge.Item) {}, Sources: noSources, Dialer: httpPeers{}, Log: event.Logger{}})
+			good := NewFollower(Config{Store: store, OnChange: ignoreChanges, Sources: noSources, Dialer: httpPeers{}, Log: event.Logger{}})
 			go good.Run(t.Context())
 			srv := httptest.NewServer(good)
 			defer srv.CloseClientConnections()
-			f := NewFollower(Config{Store: newFakeStore(), OnChange: func([]magnolialedge.Item) {}, Dialer: httpPeers{},
+			f := NewFollower(Config{Store: newFakeStore(), OnChange: ignoreChanges, Dialer: httpPeers{},
 				Sources: func() []string { return []string{bad.Listener.Addr().String(), srv.Listener.Addr().String()} }, Log: event.Logger{}})
 			go f.Run(t.Context())
 			require.Eventually(t, func() bool { return f.Size() > 0 && f.Revision() >= 2 }, 5*time.Second, 10*time.Millisecond)
--- a/io/mirror/outage_test.go
+++ b/io/mirror/outage_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"magnolialedge"
 	"magnolialedge/core/mirror"
 	"magnolialedge/io/event"
 )
@@ -15,7 +14,7 @@
 // newTestSource returns the address of an entry that watches store.
 func newTestSource(t *testing.T, store *fakeStore) string {
 	t.Helper()
-	f := NewFollower(Config{Store: store, OnChange: func([]magnolialedge.Item) {}, Sources: noSources, Dialer: httpPeers{}, Timing: mirror.TimingFor(500 * time.Millisecond), Log: event.Logger{}})
+	f := NewFollower(Config{Store: store, OnChange: ignoreChanges, Sources: noSources, Dialer: httpPeers{}, Timing: mirror.TimingFor(500 * time.Millisecond), Log: event.Logger{}})
 	go f.Run(t.Context())
 	srv := httptest.NewServer(f)
 	t.Cleanup(srv.CloseClientConnections)
@@ -31,7 +30,7 @@
 	refusing.set("a", false)
 	serving.set("a", false)
 	source, spare := newTestSource(t, refusing), newTestSource(t, serving)
-	f := NewFollower(Config{Store: own, OnChange: func([]magnolialedge.Item) {}, Dialer: httpPeers{},
+	f := NewFollower(Config{Store: own, OnChange: ignoreChanges, Dialer: httpPeers{},
 		Sources:      func() []string { return []string{source} },
 		SpareSources: func() []string { return []string{spare} },
 		MayWatch:     func() bool { return false },
@@ -51,7 +50,7 @@
 	store, own := newFakeStore(), newFakeStore()
 	store.set("a", false)
 	source := newTestSource(t, store)
-	f := NewFollower(Config{Store: own, OnChange: func([]magnolialedge.Item) {}, Dialer: httpPeers{},
+	f := NewFollower(Config{Store: own, OnChange: ignoreChanges, Dialer: httpPeers{},
 		Sources:      func() []string { return []string{source} },
 		SpareSources: func() []string { return nil },
 		MayWatch:     func() bool { return false },
@@ -75,7 +74,7 @@
 	serving.set("a", false)
 	var first, next *httptest.Server
 	newEntry := func(cfg Config) (*Follower, *httptest.Server) {
-		cfg.OnChange = func([]magnolialedge.Item) {}
+		cfg.OnChange = ignoreChanges
 		cfg.Dialer = httpPeers{}
 		f := NewFollower(cfg)
 		srv := httptest.NewServer(f)
--- a/io/mirror/reader.go
+++ b/io/mirror/reader.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
-	"magnolialedge/core/mirror"
+	"magnolialedge/io/event"
 )
 
 // streamReader reads the messages of a source's stream.
@@ -74,7 +74,7 @@
 		return err
 	}
 	defer r.Close()
-	for {
+	for isFirst := true; ; isFirst = false {
 		m, err := r.next(f.Era())
 		if err != nil {
 			return err
@@ -82,14 +82,17 @@
 		if err := f.check(m, l); err != nil {
 			return err
 		}
+		if isFirst {
+			f.cfg.Log.Log(event.SourceFollowed, "source", address, "ageMs", m.AgeMs, "hops", m.Hops, "revision", m.Revision, "ownRevision", f.Revision())
+		}
 		if err := m.decompress(); err != nil {
 			return err
 		}
 		if len(m.Unreachable) > 0 && f.cfg.OnUnreachable != nil {
 			f.cfg.OnUnreachable(m.Unreachable)
 		}
-		f.apply(mirror.FromPeer, m, time.Now().Add(-m.age()))
-		f.setHops(m.Hops + 1)
+		now := time.Now()
+		f.apply(now, fromPeer(now, address, m), m)
 		if l.staleness != unlimitedStaleness {
 			f.setInitialized()
 		}
--- a/io/mirror/restoration.go
+++ b/io/mirror/restoration.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
-	"magnolialedge/core/mirror"
 	"magnolialedge/io/event"
 )
 
@@ -33,9 +32,9 @@
 
 // notifyRestored passes the changes that took effect with the first list of a new era
 // to OnChange, and the whole list to the subscribers. f.mu must be held.
-func (f *Follower) notifyRestored(changes []magnolialedge.Item) {
+func (f *Follower) notifyRestored(changes []magnolialedge.Item, d Delivery) {
 	if len(changes) > 0 {
-		f.cfg.OnChange(changes)
+		f.cfg.OnChange(changes, d)
 	}
 	if f.cfg.OnRestored != nil {
 		f.cfg.OnRestored(f.mirror.Confirmed())
@@ -77,6 +76,7 @@
 	if err := m.decompress(); err != nil {
 		return err
 	}
-	f.apply(mirror.FromPeer, m, time.Now().Add(-m.age()))
+	now := time.Now()
+	f.apply(now, fromPeer(now, address, m), m)
 	return nil
 }
--- a/io/mirror/restored_test.go
+++ b/io/mirror/restored_test.go
@@ -86,7 +86,7 @@
 	s := newFakeStore()
 	s.set("a", false)
 	old := s.copyState()
-	f := NewFollower(Config{Store: s, OnChange: func([]magnolialedge.Item) {}, Sources: noSources, Dialer: httpPeers{}})
+	f := NewFollower(Config{Store: s, OnChange: ignoreChanges, Sources: noSources, Dialer: httpPeers{}})
 	s.era = 2
 	require.NoError(t, f.list(context.Background(), false))
 	s.era = 1
@@ -101,7 +101,7 @@
 func TestReplyWithoutEraCountsAsTheKnownOne(t *testing.T) {
 	s := newFakeStore()
 	s.set("a", false)
-	f := NewFollower(Config{Store: s, OnChange: func([]magnolialedge.Item) {}, Sources: noSources, Dialer: httpPeers{}})
+	f := NewFollower(Config{Store: s, OnChange: ignoreChanges, Sources: noSources, Dialer: httpPeers{}})
 	s.era = 2
 	require.NoError(t, f.list(context.Background(), false))
 	s.era = magnolialedge.UnknownEra
@@ -138,7 +138,7 @@
 func TestHeartbeatDoesNotPrecedeWaitingMessages(t *testing.T) {
 	s := newFakeStore()
 	s.set("a", false)
-	f := NewFollower(Config{Store: s, OnChange: func([]magnolialedge.Item) {}, Sources: noSources, Dialer: httpPeers{}})
+	f := NewFollower(Config{Store: s, OnChange: ignoreChanges, Sources: noSources, Dialer: httpPeers{}})
 	require.NoError(t, f.list(context.Background(), false))
 	_, sub := f.subscribe()
 	m, ok := f.heartbeat(sub)
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -144,12 +144,6 @@
 	}
 }
 
-func (f *Follower) setHops(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hops = n
-}
-
 func (f *Follower) hopsToStore() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/node/evacuation_random_test.go
+++ b/io/node/evacuation_random_test.go
@@ -16,6 +16,7 @@
 	"magnolialedge/core/pick"
 	"magnolialedge/io/event"
 	"magnolialedge/io/link"
+	follow "magnolialedge/io/mirror"
 	"magnolialedge/io/seed"
 	"magnolialedge/io/serve"
 )
@@ -78,7 +79,7 @@
 // deliver lists the store at an entry that reaches it.
 func (e *evacuatedEntry) deliver(now time.Time, s storeModel) {
 	e.mirror.RecordSuccess(now)
-	e.node.applyChanges(e.mirror.ApplySnapshot(now, mirror.FromStore, s.list(), s.position))
+	e.node.applyChanges(e.mirror.ApplySnapshot(now, mirror.FromStore, s.list(), s.position), follow.Delivery{})
 }
 
 // Guards against an entry that keeps, forgets or delays an evacuation. Evacuations begin and
@@ -96,7 +97,7 @@
 		}
 		pass := func(d time.Duration) {
 			now = now.Add(d)
-			e.node.applyChanges(e.mirror.ExpireHeld(now))
+			e.node.applyChanges(e.mirror.ExpireHeld(now), follow.Delivery{})
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"evacuate": func(*rapid.T) {
--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -8,6 +8,7 @@
 	"magnolialedge"
 	"magnolialedge/core/proc"
 	"magnolialedge/io/event"
+	"magnolialedge/io/mirror"
 )
 
 // maxLoggedChanges is the number of changes in one batch up to which changes of
@@ -21,14 +22,14 @@
 }
 
 // applyChanges applies a batch of store changes to the members and the forwarder.
-func (n *Node) applyChanges(changes []magnolialedge.Item) {
+func (n *Node) applyChanges(changes []magnolialedge.Item, d mirror.Delivery) {
 	before := n.members.size()
 	logUpstreams := len(changes) <= maxLoggedChanges
 	if !logUpstreams {
 		n.log.Log(event.ManyChanges, "items", len(changes))
 	}
 	for _, u := range sortRoutingLast(n.decodeUpdates(changes)) {
-		n.applyUpdate(u, logUpstreams)
+		n.applyUpdate(u, d, logUpstreams)
 	}
 	if after := n.members.size(); after != before {
 		n.forwarder.SetEntryCount(after)
@@ -102,14 +103,14 @@
 	return 1
 }
 
-func (n *Node) applyUpdate(u update, logUpstreams bool) {
+func (n *Node) applyUpdate(u update, d mirror.Delivery, logUpstreams bool) {
 	if u.Evacuation != nil {
 		n.applyEvacuation(*u.Evacuation, u.revision)
 	}
 	if u.Routing != nil && n.forwarder.SetRouting(*u.Routing) {
 		n.quotas.setRouting(*u.Routing)
 		n.credits.setRouting(*u.Routing)
-		n.log.Log(event.RoutingInForce, "version", u.Routing.Version, "revision", u.revision, "routes", len(u.Routing.Routes))
+		n.log.Log(event.RoutingInForce, "version", u.Routing.Version, "revision", u.revision, "routes", len(u.Routing.Routes), "source", cmp.Or(d.Source, "store"), "ageMs", d.Age.Milliseconds(), "silentMs", d.Silence.Milliseconds(), "hops", d.Hops)
 	}
 	if upstream := u.Upstream; upstream != nil {
 		n.forwarder.Register(*upstream)
