Receive changes from further entries while the primary way confirms nothing

Callers saw: 404 on a route that had been added more than the bound before, or a response of a removed one, at entries whose calls to the store hung.

Cause: bounds of single steps that nobody had added up. A watch waited 1.2 s and its client 0.7 s more, the failure had to last a second before a fallback peer was tried, peers were tried one after the other and a paused one cost 1.19 s, and one that followed others was refused. The class: each step has a bound, the sum has none.

Change: the time since the last confirmation decides, whatever the primary way does. Entries that lost the store pass changes on to each other at once, and an age counts only over four entries, so that no circle takes itself for up to date. An entry that leaves the store to its sources renews its lease as a probe, and asks for the changes it lacks, while nobody confirms anything. A reply counts as of the time at which the store made it. A store whose replies are late is asked without a wait, so that they arrive before the timeout. Watches wait 0.3 of the bound (0.75 s in place of 1.2 s). Fallback peers are replaced; the two tests that use them name the new field and check the same.

The steps were not measured one by one.

--- a/core/mirror/timing.go
+++ b/core/mirror/timing.go
@@ -5,14 +5,24 @@
 // Timing holds the intervals with which changes of the store spread to all
 // entries.
 type Timing struct {
+	// Bound is the time within which a change must be in force at every entry.
+	Bound time.Duration
 	// WatchInterval is the shortest time between two watch calls of an entry, so
 	// that many small changes cost few calls.
 	WatchInterval time.Duration
+	// WatchWait is the longest time that a watch call waits for changes. Without
+	// changes, it is the time between two confirmations of the store.
+	WatchWait time.Duration
 	// Heartbeat is the interval of the messages on a stream without changes.
 	Heartbeat time.Duration
 	// IdleTimeout is how long a stream may deliver no bytes before it counts as
 	// broken.
 	IdleTimeout time.Duration
+	// BackupMargin is the time by which a confirmation may be late before an entry
+	// also receives changes from further entries, and BackupInterval the time between
+	// two attempts at such an entry.
+	BackupMargin   time.Duration
+	BackupInterval time.Duration
 }
 
 const (
@@ -20,9 +30,15 @@
 	// minPropagation the lowest one that TimingFor applies.
 	DefaultPropagation = 2500 * time.Millisecond
 	minPropagation     = 500 * time.Millisecond
-	// watchShare and heartbeatShare are fractions of the propagation bound.
-	watchShare     = 0.2
-	heartbeatShare = 0.2
+)
+
+// Fractions of the propagation bound.
+const (
+	watchIntervalShare  = 0.2
+	watchWaitShare      = 0.3
+	heartbeatShare      = 0.2
+	backupMarginShare   = 0.1
+	backupIntervalShare = 0.06
 	// idleShare is the fraction of the bound after which a silent source is given
 	// up. The rest is left for its successor to list the store, for one watch
 	// interval and for the stream to this entry.
@@ -34,10 +50,26 @@
 func TimingFor(bound time.Duration) Timing {
 	bound = max(bound, minPropagation)
 	return Timing{
-		WatchInterval: share(bound, watchShare),
-		Heartbeat:     share(bound, heartbeatShare),
-		IdleTimeout:   share(bound, idleShare),
+		Bound:          bound,
+		WatchInterval:  share(bound, watchIntervalShare),
+		WatchWait:      share(bound, watchWaitShare),
+		Heartbeat:      share(bound, heartbeatShare),
+		IdleTimeout:    share(bound, idleShare),
+		BackupMargin:   share(bound, backupMarginShare),
+		BackupInterval: share(bound, backupIntervalShare),
+	}
+}
+
+// BackupDelay returns how long an entry waits for a confirmation that its items are up to
+// date, with the given number of entries between it and the store. The first of them
+// delays it by up to a heartbeat. Further ones do not extend the wait, because the bound
+// leaves no time for it.
+func (t Timing) BackupDelay(hops int) time.Duration {
+	delay := t.WatchWait + t.BackupMargin
+	if hops > 0 {
+		delay += t.Heartbeat
 	}
+	return delay
 }
 
 func share(d time.Duration, fraction float64) time.Duration {
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -36,6 +36,9 @@
 	ZoneReturned            = Event{2022, "zoneReturned", Info, "The evacuation of an availability zone ended."}
 	EvacuationIgnored       = Event{2023, "evacuationIgnored", Warning, "The evacuation of an unknown availability zone is ignored; further ones of the zone are not logged."}
 	SourceFollowed          = Event{2024, "sourceFollowed", Info, "The entry receives the changes of the store from another entry; `ageMs` is the time since that one reached the store."}
+	PrimarySilent           = Event{2025, "primarySilent", Warning, "Neither the store nor the entry's source has confirmed for `silentMs` that its items are up to date; it also receives changes from further entries."}
+	PrimaryConfirmed        = Event{2026, "primaryConfirmed", Info, "The store or the entry's source confirms again that its items are up to date; the further entries are left."}
+	StoreProbed             = Event{2027, "storeProbed", Info, "No other entry reaches the store, and this one, which otherwise leaves it to its sources, has called it; `err` is empty if the store serves it."}
 	UpstreamLost            = Event{3001, "upstreamLost", Warning, "A connection to an upstream broke after a request was written to it."}
 	UpstreamDraining        = Event{3002, "upstreamDraining", Info, "An upstream reported that it is draining."}
 	ConnectionStalled       = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
@@ -88,7 +91,7 @@
 		LinesDropped, AcceptFailed, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone, ManyChanges,
-		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored, SourceFollowed,
+		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored, SourceFollowed, PrimarySilent, PrimaryConfirmed, StoreProbed,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
--- /dev/null
+++ b/io/mirror/backup.go
@@ -0,0 +1,152 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"magnolialedge/core/mirror"
+	"magnolialedge/io/event"
+	"magnolialedge/io/pause"
+)
+
+// maxConfirmingHops is the largest number of entries between a backup peer and the store
+// with which the peer's age still counts. The age leaves out the time on the way, so that
+// entries which only hear of each other would take themselves for up to date.
+const maxConfirmingHops = 4
+
+// minBackupPoll is the shortest time between two checks whether backup streams are needed.
+const minBackupPoll = 20 * time.Millisecond
+
+// backups holds the backup streams of a Follower; Follower.mu guards it.
+type backups struct {
+	*mirror.Backups
+	// cancels ends the stream of an address.
+	cancels map[string]context.CancelFunc
+	// probeJitter spreads the calls of entries that probe the store, and isProbing is set
+	// during one.
+	probeJitter time.Duration
+	isProbing   bool
+	// silentAt is when the primary way was last found silent, or zero while it confirms.
+	silentAt time.Time
+}
+
+func newBackups(timing mirror.Timing) backups {
+	return backups{
+		Backups:     mirror.NewBackups(timing),
+		cancels:     map[string]context.CancelFunc{},
+		probeJitter: rand.N(2 * timing.BackupInterval),
+	}
+}
+
+// cancel ends the stream of an address.
+func (b *backups) cancel(address string) {
+	b.cancels[address]()
+	delete(b.cancels, address)
+}
+
+// runBackups opens and closes backup streams until ctx is done.
+func (f *Follower) runBackups(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.Sleep(ctx, f.adjustBackups(ctx, time.Now()))
+	}
+}
+
+// adjustBackups opens and closes backup streams, and returns the time until the next check.
+func (f *Follower) adjustBackups(ctx context.Context, now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mirror.Position().Revision == 0 {
+		return f.cfg.Timing.BackupMargin
+	}
+	f.logSilence(now)
+	open, closed := f.backups.Next(now, f.primary, f.cfg.BackupPeers)
+	for _, address := range closed {
+		f.backups.cancel(address)
+	}
+	for _, address := range open {
+		streamCtx, cancel := context.WithCancel(ctx)
+		f.backups.cancels[address] = cancel
+		go f.followBackup(streamCtx, address)
+	}
+	if f.mayProbe() && f.backups.IsProbeDue(now, f.primary, f.backups.probeJitter) {
+		f.backups.isProbing = true
+		go f.probeStore(ctx)
+	}
+	if f.backups.silentAt.IsZero() {
+		untilSilent := f.cfg.Timing.BackupDelay(f.primary.Hops) - now.Sub(f.primary.ConfirmedAt)
+		return max(minBackupPoll, untilSilent)
+	}
+	return max(minBackupPoll, f.cfg.Timing.BackupInterval/4)
+}
+
+// logSilence logs when the primary way has become silent and when it confirms again; f.mu
+// must be held.
+func (f *Follower) logSilence(now time.Time) {
+	isSilent := f.backups.IsSilent(now, f.primary)
+	switch {
+	case isSilent && f.backups.silentAt.IsZero():
+		f.backups.silentAt = now
+		f.cfg.Log.Log(event.PrimarySilent, "silentMs", now.Sub(f.primary.ConfirmedAt).Milliseconds(), "hops", f.primary.Hops, "revision", f.mirror.Position().Revision)
+	case !isSilent && !f.backups.silentAt.IsZero():
+		f.cfg.Log.Log(event.PrimaryConfirmed, "afterMs", now.Sub(f.backups.silentAt).Milliseconds(), "hops", f.primary.Hops, "revision", f.mirror.Position().Revision)
+		f.backups.silentAt = time.Time{}
+	}
+}
+
+// followBackup applies the messages of a backup stream until it ends.
+func (f *Follower) followBackup(ctx context.Context, address string) {
+	err := f.follow(ctx, address, limits{staleness: unlimitedStaleness, hops: unlimitedHops, isBackup: true})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ctx.Err() == nil {
+		f.cfg.Log.Log(event.SourceLost, "source", address, "err", err, "revision", f.mirror.Position().Revision, "backup", true)
+		f.backups.Ended(address)
+		f.backups.cancel(address)
+	}
+}
+
+// mayProbe reports whether this entry may probe the store: one that may watch it calls it
+// anyway. f.mu must be held.
+func (f *Follower) mayProbe() bool {
+	return f.cfg.ProbeStore != nil && f.cfg.MayWatch != nil && !f.cfg.MayWatch() && !f.backups.isProbing
+}
+
+// probeStore asks the store for the changes that this entry lacks, after a cheap call that
+// shows whether the store serves it.
+func (f *Follower) probeStore(ctx context.Context) {
+	err := f.cfg.ProbeStore(ctx)
+	if err == nil {
+		err = f.fetchMissed(ctx)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backups.isProbing = false
+	f.backups.Probed(time.Now(), err == nil)
+	f.cfg.Log.Log(event.StoreProbed, "err", err, "revision", f.mirror.Position().Revision)
+}
+
+// fetchMissed applies the changes of the store after this entry's position, without waiting
+// for any.
+func (f *Follower) fetchMissed(ctx context.Context) error {
+	asked, start := f.position(), time.Now()
+	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, asked.Revision, 0)
+	if err != nil {
+		return err
+	}
+	page.Position = page.Position.WithEra(asked.Era)
+	if err := f.checkEra(page.Era, asked.Era); err != nil {
+		return err
+	}
+	a := fromStore(start)
+	a.isBackup = true
+	f.apply(time.Now(), a, message{Items: page.Items, Position: page.Position})
+	return nil
+}
+
+// BackupStreams returns the number of open backup streams.
+func (f *Follower) BackupStreams() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.backups.Len()
+}
--- a/io/mirror/delivery.go
+++ b/io/mirror/delivery.go
@@ -29,6 +29,8 @@
 	reachedAt time.Time
 	// hops is the number of entries between this one and the store.
 	hops int
+	// isBackup is set for a message of a backup stream.
+	isBackup bool
 }
 
 // fromStore returns the arrival of a reply of the store.
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -15,13 +15,16 @@
 )
 
 const (
-	// maxWatchWait is the longest time that a call waits for changes. It also
-	// limits how long it takes to detect that the store no longer responds.
-	maxWatchWait = 1200 * time.Millisecond
 	// storeRetryDelay is the delay before the next call to a store that failed;
 	// a random part of storeRetryJitter is added to it.
 	storeRetryDelay  = 100 * time.Millisecond
 	storeRetryJitter = 200 * time.Millisecond
+	// confirmedRetryDelay replaces storeRetryDelay while other entries confirm that the
+	// items are up to date.
+	confirmedRetryDelay = time.Second
+	// slowReply is the delay of the store's replies from which calls do not wait for
+	// changes, so that a reply arrives before the call times out.
+	slowReply = 300 * time.Millisecond
 	// tickInterval is the time between two checks whether the removals that the
 	// mirror holds back have expired.
 	tickInterval = 200 * time.Millisecond
@@ -48,9 +51,13 @@
 	// that there are no spare sources and that this entry watches the store.
 	SpareSources func() []string
 	MayWatch     func() bool
-	// FallbackPeers returns the addresses of further peers. They may still reach
-	// the store when this entry does not. It may be nil.
-	FallbackPeers func() []string
+	// BackupPeers returns the addresses of other entries, best first. They may still
+	// reach the store when this entry and its sources do not. It may be nil.
+	BackupPeers func() []string
+	// ProbeStore makes a cheap call to the store. An entry that may not watch the store
+	// makes it before it asks for changes while no other entry reaches the store. nil
+	// means that it does not call the store then.
+	ProbeStore func(context.Context) error
 	// OnFirstPage receives the first page of a store with several pages, so
 	// that Sources can return peers found in it. If Sources then returns any, a
 	// new entry leaves the rest of the listing to them. It may be nil.
@@ -98,12 +105,18 @@
 	// initialized is set once the store has been listed or a source has
 	// delivered items.
 	initialized bool
-	// reachedAt is when the store was last reached, by this entry or by its
-	// source.
+	// reachedAt is when the store was last reached, by this entry or by another one
+	// from which it receives changes.
 	reachedAt time.Time
 	// hops is the number of entries between this one and the store as of
 	// reachedAt; 0 means that this entry reached the store itself.
 	hops int
+	// primary is what the store or the source has last confirmed, without the backup
+	// streams.
+	primary mirror.Primary
+	backups backups
+	// replyDelay is by how much the store's last reply was late.
+	replyDelay time.Duration
 	// unreachable is set from a failed call until the store is reached again.
 	unreachable bool
 	subscribers map[chan message]struct{}
@@ -115,17 +128,19 @@
 	if cfg.Timing == (mirror.Timing{}) {
 		cfg.Timing = mirror.TimingFor(mirror.DefaultPropagation)
 	}
-	return &Follower{cfg: cfg, mirror: mirror.New(mirror.Config{Generation: cfg.Generation}), subscribers: map[chan message]struct{}{}}
+	return &Follower{cfg: cfg, mirror: mirror.New(mirror.Config{Generation: cfg.Generation}), subscribers: map[chan message]struct{}{}, backups: newBackups(cfg.Timing)}
 }
 
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	go f.expireHeld(ctx)
 	go f.followSeeds(ctx)
+	if f.cfg.BackupPeers != nil {
+		go f.runBackups(ctx)
+	}
 	for ctx.Err() == nil {
 		if len(f.cfg.Sources()) == 0 {
 			f.pollStore(ctx, f.canDeferListing())
-			f.followFallbackPeers(ctx)
 			continue
 		}
 		if f.followSources(ctx) {
@@ -148,27 +163,8 @@
 	return f.initialized
 }
 
-// followFallbackPeers follows a fallback peer for up to fallbackDuration if this
-// entry cannot reach the store, because the store may refuse some entries and serve
-// others.
-func (f *Follower) followFallbackPeers(ctx context.Context) {
-	if f.cfg.FallbackPeers == nil || !f.isOutage() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, fallbackDuration)
-	defer cancel()
-	f.followAny(ctx, f.cfg.FallbackPeers(), limits{staleness: maxSourceStaleness, hops: fallbackHops})
-	f.setListed(false)
-}
-
-func (f *Follower) isOutage() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.mirror.IsOutage(time.Now())
-}
-
 // fallbackDuration is how long an entry watches the store itself if no source
-// serves it, and how long it follows a fallback peer if the store does not.
+// serves it.
 const fallbackDuration = 3 * time.Second
 
 func (f *Follower) hasListed() bool {
@@ -177,8 +173,8 @@
 	return f.isListed
 }
 
-// Staleness returns the time since the store was last reached, by this entry or
-// by its source.
+// Staleness returns the time since the store was last reached, by this entry or by
+// another one from which it receives changes.
 func (f *Follower) Staleness(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -245,8 +241,16 @@
 		f.setListed(false)
 	default:
 		f.recordFailure(err)
-		pause.Sleep(ctx, storeRetryDelay+rand.N(storeRetryJitter))
+		pause.Sleep(ctx, f.retryDelay())
+	}
+}
+
+// retryDelay returns the delay before the next call to a store that failed.
+func (f *Follower) retryDelay() time.Duration {
+	if f.Staleness(time.Now()) < f.cfg.Timing.BackupDelay(1) {
+		return confirmedRetryDelay
 	}
+	return storeRetryDelay + rand.N(storeRetryJitter)
 }
 
 func (f *Follower) setListed(listed bool) {
@@ -260,15 +264,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := a.delivery(now, f.reachedAt)
-	if now.Sub(a.reachedAt) < maxSourceStaleness {
-		f.mirror.RecordSuccess(now)
-	}
-	f.reachedAt, f.hops = a.reachedAt, a.hops
-	if f.unreachable && now.Sub(a.reachedAt) < maxSourceStaleness {
-		f.unreachable = false
-		f.cfg.Log.Log(event.StoreReachable, "revision", m.Revision)
-	}
+	f.confirm(now, a, m.Revision)
 	own := f.mirror.Position()
+	if a.isBackup {
+		defer f.relistAfter(own)
+	}
 	if !m.Snapshot {
 		f.notify(f.mirror.ApplyChanges(now, m.Items, m.Position), d)
 		return
@@ -285,6 +285,41 @@
 	f.notifyRestored(effective, d)
 }
 
+// confirm records as of when an arrival confirms that the items are up to date; f.mu must
+// be held.
+func (f *Follower) confirm(now time.Time, a arrival, revision int64) {
+	if a.isBackup && a.hops > maxConfirmingHops {
+		return
+	}
+	isFresh := now.Sub(a.reachedAt) < maxSourceStaleness
+	if isFresh {
+		f.mirror.RecordSuccess(now)
+	}
+	if a.reachedAt.After(f.reachedAt) {
+		f.reachedAt, f.hops = a.reachedAt, a.hops
+	}
+	if a.isBackup {
+		f.backups.Confirm(a.source, a.reachedAt)
+		return
+	}
+	if a.reachedAt.After(f.primary.ConfirmedAt) {
+		f.primary = mirror.Primary{ConfirmedAt: a.reachedAt, Hops: a.hops}
+	}
+	if f.unreachable && isFresh {
+		f.unreachable = false
+		f.cfg.Log.Log(event.StoreReachable, "revision", revision)
+	}
+}
+
+// relistAfter makes the next call list the store if a backup stream has changed the
+// position since. Its peer may have held back removals older than that position, which the
+// changes after it do not include. f.mu must be held.
+func (f *Follower) relistAfter(position magnolialedge.Position) {
+	if f.mirror.Position() != position {
+		f.isListed = false
+	}
+}
+
 // notify passes effective changes to OnChange and to the subscribers. f.mu must be
 // held, so that the changes stay in order.
 func (f *Follower) notify(changes []magnolialedge.Item, d Delivery) {
--- a/io/mirror/follower_test.go
+++ b/io/mirror/follower_test.go
@@ -267,7 +267,7 @@
 
 // If the store refuses the entry that watches it for its region and serves the
 // others, the refused entry must follow one of them.
-func TestRefusedWatcherFollowsFallbackPeer(t *testing.T) {
+func TestRefusedWatcherFollowsBackupPeer(t *testing.T) {
 	s := newFakeStore()
 	second, _ := startFollower(t, s, noSources)
 	srv := httptest.NewServer(second)
@@ -275,7 +275,7 @@
 	ownStore := newFakeStore()
 	k := &keyRecorder{present: map[string]bool{}}
 	f := NewFollower(Config{Store: ownStore, OnChange: k.record, Sources: noSources, Dialer: httpPeers{},
-		FallbackPeers: func() []string { return []string{srv.Listener.Addr().String()} }, Log: event.Logger{}})
+		BackupPeers: func() []string { return []string{srv.Listener.Addr().String()} }, Log: event.Logger{}})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
--- a/io/mirror/listing.go
+++ b/io/mirror/listing.go
@@ -21,16 +21,17 @@
 // list reads all items from the store and applies them. If mayDefer is set, it may
 // return errListingDeferred.
 func (f *Follower) list(ctx context.Context, mayDefer bool) error {
+	start := time.Now()
 	items, first, err := f.readItems(ctx, mayDefer)
 	if err != nil {
 		return err
 	}
 	f.consultPeers(ctx, items, first.Era)
-	now := time.Now()
-	f.apply(now, fromStore(now), message{Snapshot: true, Items: items, Position: first})
+	f.apply(time.Now(), fromStore(start), message{Snapshot: true, Items: items, Position: first})
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.isListed = true
+	// A list that was not applied as older does not tell which items were removed since.
+	f.isListed = !first.Before(f.mirror.Position())
 	f.initialized = true
 	return nil
 }
@@ -71,29 +72,45 @@
 
 // fetchChanges waits for changes of the store and applies them.
 func (f *Follower) fetchChanges(ctx context.Context) error {
-	asked := f.position()
-	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, asked.Revision, f.watchWait())
+	asked, wait, start := f.position(), f.watchWait(), time.Now()
+	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, asked.Revision, wait)
 	if err != nil {
 		return err
 	}
+	now := time.Now()
+	reachedAt := f.replyTime(page, start, now, wait)
 	page.Position = page.Position.WithEra(asked.Era)
 	if err := f.checkEra(page.Era, asked.Era); err != nil {
 		return err
 	}
-	now := time.Now()
-	f.apply(now, fromStore(now), message{Items: page.Items, Position: page.Position})
+	f.apply(now, fromStore(reachedAt), message{Items: page.Items, Position: page.Position})
 	return nil
 }
 
-// watchWait returns how long a call may wait for changes. During an outage it
-// is 0, so that the end of the outage is noticed soon.
+// replyTime returns the latest time as of which a reply surely tells the state of the
+// store, and records by how much the reply was late. A reply without changes was made when
+// the wait ended, and may have been on its way since.
+func (f *Follower) replyTime(page magnolialedge.Page, start, now time.Time, wait time.Duration) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	elapsed := now.Sub(start)
+	if len(page.Items) == 0 {
+		f.replyDelay = max(0, elapsed-wait)
+		return now.Add(-f.replyDelay)
+	}
+	f.replyDelay = min(f.replyDelay, elapsed)
+	return now.Add(-f.replyDelay)
+}
+
+// watchWait returns how long a call may wait for changes. It is 0 during an outage, so that
+// its end is noticed soon, and while replies are late, so that they arrive in time.
 func (f *Follower) watchWait() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unreachable {
+	if f.unreachable || f.replyDelay >= slowReply {
 		return 0
 	}
-	return maxWatchWait
+	return f.cfg.Timing.WatchWait
 }
 
 // listUnlessInitialized lists the store if the sources to which a new entry left the
--- a/io/mirror/outage_test.go
+++ b/io/mirror/outage_test.go
@@ -81,7 +81,7 @@
 		t.Cleanup(srv.CloseClientConnections)
 		return f, srv
 	}
-	firstEntry, first := newEntry(Config{Store: refusing, Sources: noSources, FallbackPeers: func() []string { return []string{next.Listener.Addr().String()} }})
+	firstEntry, first := newEntry(Config{Store: refusing, Sources: noSources, BackupPeers: func() []string { return []string{next.Listener.Addr().String()} }})
 	nextEntry, next := newEntry(Config{Store: serving, Sources: func() []string { return []string{first.Listener.Addr().String()} }})
 	go firstEntry.Run(t.Context())
 	require.Eventually(t, func() bool { return firstEntry.Revision() > 0 }, 2*time.Second, time.Millisecond)
--- a/io/mirror/reader.go
+++ b/io/mirror/reader.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,10 +28,7 @@
 // openStream opens the stream of a source. The reader must be closed.
 func (f *Follower) openStream(ctx context.Context, address string, l limits) (*streamReader, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	query := url.Values{subscriberParam: {f.cfg.Name}}
-	if l.staleness == unlimitedStaleness {
-		query.Set(anyAgeParam, "1")
-	}
+	query := f.streamQuery(l)
 	r := &streamReader{cancel: cancel, idleTimer: time.AfterFunc(f.cfg.Timing.IdleTimeout, cancel)}
 	body, err := f.cfg.Dialer.Open(ctx, address, StreamPath+"?"+query.Encode())
 	if err != nil {
@@ -44,6 +42,22 @@
 	return r, nil
 }
 
+// streamQuery returns the query parameters of a stream with the given limits.
+func (f *Follower) streamQuery(l limits) url.Values {
+	query := url.Values{}
+	if l.staleness == unlimitedStaleness {
+		query.Set(anyAgeParam, "1")
+	}
+	if !l.isBackup {
+		query.Set(subscriberParam, f.cfg.Name)
+		return query
+	}
+	own := f.position()
+	query.Set(eraParam, strconv.FormatInt(own.Era, 10))
+	query.Set(revisionParam, strconv.FormatInt(own.Revision, 10))
+	return query
+}
+
 // next returns the next message, with the items of a snapshot still compressed. A
 // message that names no era, as those of entries of earlier releases, gets the given
 // one.
@@ -83,7 +97,7 @@
 			return err
 		}
 		if isFirst {
-			f.cfg.Log.Log(event.SourceFollowed, "source", address, "ageMs", m.AgeMs, "hops", m.Hops, "revision", m.Revision, "ownRevision", f.Revision())
+			f.cfg.Log.Log(event.SourceFollowed, "source", address, "ageMs", m.AgeMs, "hops", m.Hops, "revision", m.Revision, "ownRevision", f.Revision(), "backup", l.isBackup)
 		}
 		if err := m.decompress(); err != nil {
 			return err
@@ -92,7 +106,9 @@
 			f.cfg.OnUnreachable(m.Unreachable)
 		}
 		now := time.Now()
-		f.apply(now, fromPeer(now, address, m), m)
+		a := fromPeer(now, address, m)
+		a.isBackup = l.isBackup
+		f.apply(now, a, m)
 		if l.staleness != unlimitedStaleness {
 			f.setInitialized()
 		}
--- a/io/mirror/restoration.go
+++ b/io/mirror/restoration.go
@@ -46,11 +46,11 @@
 // a store that has eras: the store may just have been restored, and only the peers
 // know what the copy lacks. Without a peer that responds, the list is all there is.
 func (f *Follower) consultPeers(ctx context.Context, items []magnolialedge.Item, era int64) {
-	if era == 0 || f.isInitialized() || f.Revision() != 0 || f.cfg.FallbackPeers == nil || f.cfg.OnFirstPage == nil {
+	if era == 0 || f.isInitialized() || f.Revision() != 0 || f.cfg.BackupPeers == nil || f.cfg.OnFirstPage == nil {
 		return
 	}
 	f.cfg.OnFirstPage(items)
-	peers := f.cfg.FallbackPeers()
+	peers := f.cfg.BackupPeers()
 	for _, address := range peers[:min(maxConsultedPeers, len(peers))] {
 		err := f.readSnapshot(ctx, address)
 		if err == nil {
--- a/io/mirror/restored_test.go
+++ b/io/mirror/restored_test.go
@@ -140,7 +140,7 @@
 	s.set("a", false)
 	f := NewFollower(Config{Store: s, OnChange: ignoreChanges, Sources: noSources, Dialer: httpPeers{}})
 	require.NoError(t, f.list(context.Background(), false))
-	_, sub := f.subscribe()
+	_, sub := f.subscribe(magnolialedge.Position{})
 	m, ok := f.heartbeat(sub)
 	require.True(t, ok)
 	require.Equal(t, f.position(), m.Position)
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -6,6 +6,8 @@
 	"io"
 	"math"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +36,10 @@
 	// anyAgeParam is the query parameter of a subscriber that accepts items
 	// regardless of their age.
 	anyAgeParam = "anyAge"
+	// eraParam and revisionParam are the query parameters with the position of a
+	// subscriber. It receives a snapshot only if it lacks changes.
+	eraParam      = "era"
+	revisionParam = "revision"
 )
 
 var (
@@ -79,14 +85,14 @@
 	// It keeps entries that have lost the store from following each other in a
 	// circle, in which no change arrives.
 	hops int
+	// isBackup is set for a stream beside the primary way.
+	isBackup bool
 }
 
 const (
 	// subscriberHops applies to entries that may not watch the store: their
-	// source may follow an entry that does. fallbackHops applies to an entry that
-	// has lost the store and follows any other.
+	// source may follow an entry that does.
 	subscriberHops = 1
-	fallbackHops   = 2
 	unlimitedHops  = math.MaxInt
 )
 
@@ -181,13 +187,16 @@
 	}
 }
 
-// subscribe returns a snapshot of all items and a channel with the changes that
-// follow.
-func (f *Follower) subscribe() (message, chan message) {
+// subscribe returns a snapshot of all items and a channel with the changes that follow. A
+// subscriber that lacks no changes receives only the position.
+func (f *Follower) subscribe(known magnolialedge.Position) (message, chan message) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sub := make(chan message, maxQueuedMessages)
 	f.subscribers[sub] = struct{}{}
+	if own := f.mirror.Position(); own.Era == known.Era && !known.Before(own) {
+		return message{Position: own}, sub
+	}
 	return message{Snapshot: true, Compressed: f.compressedSnapshot(), Position: f.mirror.Position()}, sub
 }
 
@@ -215,7 +224,7 @@
 	if name != "" && f.cfg.OnSubscriber != nil {
 		f.cfg.OnSubscriber(name)
 	}
-	first, sub := f.subscribe()
+	first, sub := f.subscribe(knownPosition(r.URL.Query()))
 	defer f.unsubscribe(sub)
 	defer f.subscriberLost(name)
 	w.Header().Set("Content-Type", "application/x-ndjson")
@@ -246,6 +255,20 @@
 	}
 }
 
+// knownPosition returns the position of a subscriber, or one before all others if it gives
+// none.
+func knownPosition(query url.Values) magnolialedge.Position {
+	era, err := strconv.ParseInt(query.Get(eraParam), 10, 64)
+	if err != nil {
+		return magnolialedge.Position{Era: magnolialedge.UnknownEra}
+	}
+	revision, err := strconv.ParseInt(query.Get(revisionParam), 10, 64)
+	if err != nil {
+		return magnolialedge.Position{Era: magnolialedge.UnknownEra}
+	}
+	return magnolialedge.Position{Era: era, Revision: revision}
+}
+
 // heartbeat returns the message for a subscriber that has received nothing for a while, or
 // false if messages wait for it: the present position must not precede them.
 func (f *Follower) heartbeat(sub <-chan message) (message, bool) {
--- a/io/node/announce.go
+++ b/io/node/announce.go
@@ -123,9 +123,26 @@
 	}
 	l.isWritten = true
 	l.failures, l.waitsForStore = 0, false
+	n.leaseID.Store(l.lease.ID)
 	n.isListed.Store(true)
 }
 
+// errNoLease is returned by probeStore before this entry is listed.
+var errNoLease = errors.New("this entry has no lease yet")
+
+// probeStore renews the lease once more, which shows whether the store serves this entry.
+func (n *Node) probeStore(ctx context.Context) error {
+	id := n.leaseID.Load()
+	if id == 0 {
+		return errNoLease
+	}
+	err := n.store.Renew(ctx, id)
+	if errors.Is(err, magnolialedge.ErrLeaseEnded) {
+		return nil
+	}
+	return err
+}
+
 func (n *Node) leaseTiming() proc.LeaseTiming {
 	return proc.LeaseTimingFor(n.settings.MaxPropagation, n.settings.MinLeaseTTL)
 }
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -17,6 +17,7 @@
 		{"routing_version", "Version of the routes in force.", func() float64 { return float64(n.forwarder.Version()) }},
 		{"store_revision", "Revision of the store that the entry's items reflect.", func() float64 { return float64(n.follower.Revision()) }},
 		{"store_era", "Number of times that the store was restored, as far as the entry knows.", func() float64 { return float64(n.follower.Era()) }},
+		{"backup_streams", "Further entries from which this entry receives changes because its primary way does not confirm them.", func() float64 { return float64(n.follower.BackupStreams()) }},
 		{"upstream_limits", "Upstreams that announce a limit on the requests from all entries.", func() float64 { return float64(n.forwarder.LimitedUpstreams()) }},
 		{"upstreams_cold", "Upstreams that are cold and whose service limits the requests to them.", func() float64 { return float64(len(n.forwarder.ColdUpstreams())) }},
 		{"upstreams_unreachable", "Upstreams that did not respond to this entry when it last tried them.", func() float64 { return float64(n.forwarder.UnreachableUpstreams()) }},
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -72,8 +72,10 @@
 	store        magnolialedge.Keyspace
 	peerClient   *http.Client
 	isLeaving    atomic.Bool
-	// isListed is set once the store lists this entry.
+	// isListed is set once the store lists this entry, and leaseID is the lease under
+	// which it was last listed.
 	isListed atomic.Bool
+	leaseID  atomic.Int64
 	// hasCommonStart is set once this entry knows that most entries started together with
 	// it. Only applyChanges uses it.
 	hasCommonStart bool
@@ -183,7 +185,8 @@
 		Sources:          n.members.sources,
 		SpareSources:     n.members.spareSources,
 		MayWatch:         n.members.mayWatch,
-		FallbackPeers:    n.members.fallbackPeers,
+		BackupPeers:      n.members.backupPeers,
+		ProbeStore:       n.probeStore,
 		Dialer:           peerDialer{client: n.peerClient},
 		OnFirstPage:      n.members.setHints,
 		SourceTimeout:    n.sourceTimeout,
--- a/io/node/ranking.go
+++ b/io/node/ranking.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,9 +21,6 @@
 	// store. Beyond the sources, they do so only while the sources have lost it,
 	// because the store may refuse some entries and serve others.
 	watchersPerRegion = 6
-	// maxFallbackPeers limits the fallback peers of this entry's region. Peers of
-	// other regions are added up to a total of twice this number.
-	maxFallbackPeers = 2
 )
 
 // sources returns the peer addresses from which this entry receives changes, best
@@ -69,18 +67,36 @@
 	return m.reach.IsUnreachable(now, name)
 }
 
-// fallbackPeers returns the peer addresses of a few other entries, those of this
-// region first.
-func (m *members) fallbackPeers() []string {
-	var out []string
-	for _, in := range m.ranked() {
-		if in.Name != m.self.Name && len(out) < maxFallbackPeers {
-			out = append(out, in.PeerAddress)
+// backupPeers returns the peer addresses of all other entries that respond, in random order
+// and by turns from this region and from others: the store may refuse a region, and
+// transfers between regions cost more.
+func (m *members) backupPeers() []string {
+	now := time.Now()
+	var own, others []string
+	for _, in := range m.listWithHints() {
+		switch {
+		case in.Name == m.self.Name || in.Leaving || m.isUnreachable(now, in.Name):
+		case in.Region == m.self.Region:
+			own = append(own, in.PeerAddress)
+		default:
+			others = append(others, in.PeerAddress)
 		}
 	}
-	for _, in := range m.list() {
-		if in.Region != m.self.Region && len(out) < 2*maxFallbackPeers {
-			out = append(out, in.PeerAddress)
+	rand.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return alternate(own, others)
+}
+
+// alternate returns the elements of both lists by turns, starting with those of a, and then
+// the rest of the longer one.
+func alternate(a, b []string) []string {
+	out := make([]string, 0, len(a)+len(b))
+	for i := range max(len(a), len(b)) {
+		if i < len(a) {
+			out = append(out, a[i])
+		}
+		if i < len(b) {
+			out = append(out, b[i])
 		}
 	}
 	return out
