Do not apply routes that contradict themselves

Callers saw nothing yet; the report names an invalid change that was taken.

Cause: a document that decodes came into force whatever it says. With a route that names a service which the document lacks, or two routes with the same host and prefix, the corrected document of the same version was ignored as not newer.

Change: core/route.Check looks at the whole document; the routes before it stay in force, with one line versionRejected.

--- a/io/node/updates.go
+++ b/io/node/updates.go
@@ -7,6 +7,7 @@
 
 	"magnolialedge"
 	"magnolialedge/core/proc"
+	"magnolialedge/core/route"
 	"magnolialedge/io/event"
 	"magnolialedge/io/mirror"
 )
@@ -107,10 +108,8 @@
 	if u.Evacuation != nil {
 		n.applyEvacuation(*u.Evacuation, u.revision)
 	}
-	if u.Routing != nil && n.forwarder.SetRouting(*u.Routing) {
-		n.quotas.setRouting(*u.Routing)
-		n.credits.setRouting(*u.Routing)
-		n.log.Log(event.RoutingInForce, "version", u.Routing.Version, "revision", u.revision, "routes", len(u.Routing.Routes), "source", cmp.Or(d.Source, "store"), "ageMs", d.Age.Milliseconds(), "silentMs", d.Silence.Milliseconds(), "hops", d.Hops)
+	if u.Routing != nil {
+		n.applyRouting(*u.Routing, u.revision, d)
 	}
 	if upstream := u.Upstream; upstream != nil {
 		n.forwarder.Register(*upstream)
@@ -125,3 +124,19 @@
 		}
 	}
 }
+
+// applyRouting puts a version of the routes in force. One that contradicts itself is not
+// applied, so that the routes before it stay in force and a corrected one may have the same
+// version.
+func (n *Node) applyRouting(c magnolialedge.RoutingConfig, revision int64, d mirror.Delivery) {
+	if err := route.Check(c); err != nil {
+		n.log.Log(event.VersionRejected, "version", c.Version, "revision", revision, "inForce", n.forwarder.Version(), "err", err)
+		return
+	}
+	if !n.forwarder.SetRouting(c) {
+		return
+	}
+	n.quotas.setRouting(c)
+	n.credits.setRouting(c)
+	n.log.Log(event.RoutingInForce, "version", c.Version, "revision", revision, "routes", len(c.Routes), "source", cmp.Or(d.Source, "store"), "ageMs", d.Age.Milliseconds(), "silentMs", d.Silence.Milliseconds(), "hops", d.Hops)
+}
