Reject registrations that no upstream can mean

Reported by another operator: one odd entry among the targets, deeply nested, with a number too large or a port out of range, ended the machines that read the list or stopped them.

Cause: not the reported one; entries neither ended nor stopped. But a registration with port 0, with 9e18 slots, cold for 1e300 ms or started in the year 285,000,000 was taken for an upstream, and load readings could overflow. Conversions of such numbers differ between processors.

--- a/core/pick/upstream.go
+++ b/core/pick/upstream.go
@@ -191,7 +191,7 @@
 	u.loadReadAt = now
 	u.reportsNoLoad = false
 	u.othersInFlight = max(0, float64(r.Running+r.Waiting-u.inFlight))
-	if r.Slots > 0 {
+	if r.Slots > 0 && r.Slots <= magnolialedge.MaxSlots {
 		u.Slots = r.Slots
 	}
 	switch {
--- a/io/node/routing_test.go
+++ b/io/node/routing_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -31,3 +32,39 @@
 	require.Eventually(t, func() bool { return tc.serves("/added/1") }, applyTimeout, 5*time.Millisecond)
 	require.Equal(t, 2, rejected())
 }
+
+// Guards against an odd entry among the registrations that ends an entry, stops it from
+// following the store, or is used: deeply nested, with numbers too large, or with a port out of
+// range.
+func TestOddRegistrationsLeaveTheOthersInUse(t *testing.T) {
+	tc := newTestCluster(t)
+	tc.addEntry("e2", "127.0.0.2")
+	odd := tc.addServiceUpstream("odd", "other")
+	format := `{"service":"svc","address":%q,"zone":"east-a","slots":%s,"state":"ready","cold-left-ms":%s,"seq":%s,"born":%s%s}`
+	values := []string{strings.Repeat("[", 300_000)}
+	for _, fields := range [][]any{
+		{"127.0.0.1:70000", "4", "0", "1", "1", ""},
+		{"127.0.0.1:0", "4", "0", "1", "1", ""},
+		{odd.Address(), "9000000000000000000", "0", "1", "1", ""},
+		{odd.Address(), "99999999999999999999", "0", "1", "1", ""},
+		{odd.Address(), "4", "1e300", "1", "1", ""},
+		{odd.Address(), "4", "0", "1e30", "1", ""},
+		{odd.Address(), "4", "0", "1", "9000000000000000000", ""},
+		{odd.Address(), "4", "0", "1", "1", `,"more":` + strings.Repeat("[", 300_000) + strings.Repeat("]", 300_000)},
+	} {
+		values = append(values, fmt.Sprintf(format, fields...))
+	}
+	for i, value := range values {
+		tc.store.Put(fmt.Sprint("servers/odd-", i), []byte(value))
+	}
+	tc.routes = append(tc.routes, routeJSON("added", "/added/", "safe", 1000, "svc"))
+	tc.putConfig()
+	require.Eventually(t, func() bool { return tc.serves("/added/1") }, 2*applyTimeout, 5*time.Millisecond)
+	for range 20 {
+		require.True(t, tc.serves("/reads/1"))
+	}
+	require.Empty(t, odd.Runs())
+	for _, e := range tc.entries {
+		require.Equal(t, len(values), strings.Count(e.logs.String(), "name=itemUnusable"))
+	}
+}
--- a/route.go
+++ b/route.go
@@ -110,40 +110,6 @@
 	Accounts []ClientAccount `json:"accounts,omitempty"`
 }
 
-// Registration is the information that an upstream registers about itself.
-type Registration struct {
-	// ID identifies the upstream. Most upstreams use a new ID on each start.
-	ID      string
-	Service string
-	Address string
-	Zone    string
-	Release string
-	// Slots is the number of requests that the upstream processes concurrently.
-	Slots    int
-	Draining bool
-	// WarmUpRemaining is the remaining time for which the upstream is cold, that is,
-	// slower than usual.
-	WarmUpRemaining time.Duration
-	// StartedAtUnixMs is the start time of the upstream in Unix milliseconds,
-	// or 0 if it is unknown. It distinguishes starts under the same ID.
-	StartedAtUnixMs int64
-}
-
-// IsSameRun reports whether two registrations are of the same run of an upstream.
-func (r Registration) IsSameRun(o Registration) bool {
-	return r.ID == o.ID && r.Address == o.Address && r.StartedAtUnixMs == o.StartedAtUnixMs
-}
-
-// LoadReading is the load that an upstream reports at one moment.
-type LoadReading struct {
-	Running int
-	Waiting int
-	Slots   int
-	// Slowdown is the factor by which requests currently take longer than
-	// usual, or 0 if the upstream does not report it.
-	Slowdown float64
-}
-
 // RateLimit is what a response says about the limit on the requests that an upstream
 // takes from all entries together.
 type RateLimit struct {
