Do not repeat a request on a connection on which it was refused

Callers saw (reported by another operator): 'not run, try again' for a request that an upstream had run or was running.

Cause: an upstream that writes an earlier refusal once more on a kept connection. Responses are told apart by the request's id, so that a refusal of another request is skipped; but a caller that sends a refused request again under the same id can get the copy of the earlier refusal.

Change: a connection remembers the requests that were refused on it, up to 64 before it is closed; a request does not use it again, at upstreams and at entries to which requests are handed over.

--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +32,9 @@
 	// maxForeignResponses limits the number of responses to other requests that
 	// are skipped before RoundTrip fails.
 	maxForeignResponses = 3
+	// maxRefusedRequests limits the requests that may be refused on a connection before it
+	// is closed.
+	maxRefusedRequests = 64
 	// maxCoalescedBodyBytes is the largest request body that is sent in the same
 	// write as the request head.
 	maxCoalescedBodyBytes = 8 << 10
@@ -68,6 +72,8 @@
 	lastResponseAt time.Time
 	// deadline is the deadline of the request in progress.
 	deadline time.Time
+	// refused holds the ids of the requests that the upstream refused on the connection.
+	refused []string
 }
 
 func newConn(netConn net.Conn, upstream magnolialedge.Registration, headers magnolialedge.HeaderProtocol, dialTime time.Duration) *Conn {
@@ -103,6 +109,12 @@
 	return c.openedAt
 }
 
+// HasRefused reports whether the upstream refused a request on the connection. The request
+// must not use it again: a second copy of that refusal could not be told from the response.
+func (c *Conn) HasRefused(requestID string) bool {
+	return slices.Contains(c.refused, requestID)
+}
+
 func (c *Conn) isReusable() bool {
 	return !c.broken && c.reader.Buffered() == 0
 }
@@ -267,7 +279,9 @@
 			return nil, err
 		}
 		if resp.Header.Get(c.headers.RequestID) == req.ID {
-			return c.newResponseWithBody(resp)
+			r, err := c.newResponseWithBody(resp)
+			c.recordRefusal(req.ID, r)
+			return r, err
 		}
 		if _, err := c.readBody(resp, maxUnusedBodyBytes); err != nil {
 			return nil, err
@@ -280,6 +294,15 @@
 	return nil, errForeignResponse
 }
 
+// recordRefusal remembers a request that the upstream says it did not run.
+func (c *Conn) recordRefusal(requestID string, r *Response) {
+	if r == nil || !r.NotRun {
+		return
+	}
+	c.refused = append(c.refused, requestID)
+	c.broken = c.broken || len(c.refused) >= maxRefusedRequests
+}
+
 // newResponseWithBody reads the body of the request's own response. It streams a
 // long body only if the response can be passed on unchanged.
 func (c *Conn) newResponseWithBody(resp *http.Response) (*Response, error) {
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -324,7 +324,7 @@
 // connectPlacement adds a connection to a placement. If that fails, it ends the
 // attempt, marks the upstream as unreachable and returns nil.
 func (x *exchange) connectPlacement(ctx context.Context, p *placement) *placement {
-	c, err := x.f.connect(ctx, p.Candidate, !x.pickReq.Idempotent, x.match.Service.HealthPath)
+	c, err := x.f.connect(ctx, p.Candidate, x.id, !x.pickReq.Idempotent, x.match.Service.HealthPath)
 	switch {
 	case err == nil && !x.isStillPermitted(p):
 		x.f.endAttempt(p, x.pickReq, 0, pick.AttemptCanceled)
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -139,7 +139,7 @@
 	f := x.f
 	start := time.Now()
 	p := &placement{Candidate: pick.Candidate{Registration: helperRegistration(helper)}}
-	conn, err := f.connectHelper(ctx, p.Registration, !x.pickReq.Idempotent)
+	conn, err := f.connectHelper(ctx, p.Registration, x.id, !x.pickReq.Idempotent)
 	if err != nil {
 		f.cfg.Log.Log(event.HelperUnreachable, "requestId", x.id, "service", x.pickReq.Service, "helper", helper.Name, "err", err)
 		f.endHandover(helper, x.pickReq.Service, ctx.Err() == nil)
@@ -197,14 +197,14 @@
 }
 
 // connectHelper returns a connection to another entry: an unused one that has carried a
-// response a short time ago, or a new one.
-func (f *Forwarder) connectHelper(ctx context.Context, r magnolialedge.Registration, nonIdempotent bool) (*link.Conn, error) {
+// response a short time ago and on which the request was not refused, or a new one.
+func (f *Forwarder) connectHelper(ctx context.Context, r magnolialedge.Registration, requestID string, nonIdempotent bool) (*link.Conn, error) {
 	maxAge := maxUnverifiedAge
 	if nonIdempotent {
 		maxAge = maxUnverifiedAgeNonIdempotent
 	}
 	if c, ok := f.cfg.HelperPool.Get(r); ok {
-		if time.Since(c.LastResponseAt()) < maxAge {
+		if time.Since(c.LastResponseAt()) < maxAge && !c.HasRefused(requestID) {
 			return c, nil
 		}
 		c.Close()
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -185,11 +185,14 @@
 	return f.fleet.UnreachableCount()
 }
 
-// connect returns a connection for a request: a pooled one that passes
-// verifyConn, or a new one.
-func (f *Forwarder) connect(ctx context.Context, candidate pick.Candidate, nonIdempotent bool, healthPath string) (*link.Conn, error) {
+// connect returns a connection for a request: a pooled one on which the request was not
+// refused and that passes verifyConn, or a new one.
+func (f *Forwarder) connect(ctx context.Context, candidate pick.Candidate, requestID string, nonIdempotent bool, healthPath string) (*link.Conn, error) {
 	if c, ok := f.cfg.Pool.Get(candidate.Registration); ok {
-		if f.verifyConn(ctx, c, candidate, nonIdempotent, healthPath) {
+		switch {
+		case c.HasRefused(requestID):
+			c.Close()
+		case f.verifyConn(ctx, c, candidate, nonIdempotent, healthPath):
 			return c, nil
 		}
 	}
