Tell callers to come back on unknown routes while the changes are lost

Cause: an entry that has heard neither from the store nor from another entry for longer than a change may take cannot know whether a route was added, and responded with a final 404.

Change: it then responds 503, kind routesOutdated, not run, with Retry-After; callers are served by another entry. While anything confirms that its items are up to date, unknown routes get 404 as before.

Evidence: TestUnknownRouteIsNotDeniedByAnEntryThatLostTheStore got 404 before.

Result: it passes, with the tests of outages in ./io/node.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -149,17 +149,18 @@
 			ColdOverage:   s.ColdOverage,
 			Seed:          uint64(n.start.UnixNano()),
 		}),
-		Pool:        n.pool,
-		Headers:     cfg.Headers,
-		Metrics:     serve.NewMetrics(n.registry),
-		Log:         n.log,
-		Retries:     proc.RetryLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra},
-		Probes:      proc.ProbeLimits{PerUpstreamPerSecond: s.MaxProbesPerSec},
-		ReportCrash: n.broadcastCrash,
-		ReportLimit: n.reportLimit,
-		ReportCold:  n.reportCold,
-		Quotas:      n.credits,
-		Admission:   cfg.Admission,
+		Pool:          n.pool,
+		Headers:       cfg.Headers,
+		Metrics:       serve.NewMetrics(n.registry),
+		Log:           n.log,
+		Retries:       proc.RetryLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra},
+		Probes:        proc.ProbeLimits{PerUpstreamPerSecond: s.MaxProbesPerSec},
+		ReportCrash:   n.broadcastCrash,
+		ReportLimit:   n.reportLimit,
+		ReportCold:    n.reportCold,
+		MayLackRoutes: n.mayLackRoutes,
+		Quotas:        n.credits,
+		Admission:     cfg.Admission,
 	})
 	n.callerServer = front.NewServer(front.Config{
 		Handler:            n.forwarder,
@@ -204,6 +205,12 @@
 	return n, nil
 }
 
+// mayLackRoutes reports whether this entry has not known for longer than a change may take
+// that its items are up to date.
+func (n *Node) mayLackRoutes() bool {
+	return n.follower.Staleness(time.Now()) > n.settings.MaxPropagation
+}
+
 func upstreamDialer(cfg Config, direct link.Dialer) link.Dialer {
 	if cfg.UpstreamDialer != nil {
 		return cfg.UpstreamDialer
--- a/io/node/routing_test.go
+++ b/io/node/routing_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"magnolialedge/platform/stand"
 )
 
 // Guards against a version of the routes that contradicts itself and comes into force, so that
@@ -68,3 +70,22 @@
 		require.Equal(t, len(values), strings.Count(e.logs.String(), "name=itemUnusable"))
 	}
 }
+
+// Guards against a final 404 on a route that was added while the entry reaches neither the store
+// nor another entry: it cannot know, and must say so.
+func TestUnknownRouteIsNotDeniedByAnEntryThatLostTheStore(t *testing.T) {
+	tc := newTestCluster(t)
+	resp, _ := tc.send("GET", "/added/1", "")
+	require.Equal(t, http.StatusNotFound, resp.status)
+	tc.store.SetFault(stand.FaultHang)
+	time.Sleep(2 * time.Second)
+	resp, id := tc.send("GET", "/added/1", "")
+	require.Equal(t, http.StatusServiceUnavailable, resp.status)
+	require.NotEmpty(t, resp.retryAfter)
+	require.Zero(t, tc.runCount(id))
+	tc.store.SetFault(stand.FaultNone)
+	require.Eventually(t, func() bool {
+		resp, _ := tc.send("GET", "/added/1", "")
+		return resp.status == http.StatusNotFound
+	}, applyTimeout, 20*time.Millisecond)
+}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -162,6 +162,8 @@
 	switch {
 	case !x.hasRouting:
 		return x.reject(magnolialedge.KindNotReady, magnolialedge.ErrorResponseFor(magnolialedge.KindNotReady).RetryAfter)
+	case !x.hasRoute && x.f.mayLackRoutes():
+		return x.reject(magnolialedge.KindRoutesOutdated, magnolialedge.ErrorResponseFor(magnolialedge.KindRoutesOutdated).RetryAfter)
 	case !x.hasRoute:
 		return x.reject(magnolialedge.KindNoRoute, 0)
 	case !x.authenticate():
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -56,6 +56,9 @@
 	// ReportCold notifies the other entries that an upstream is cold for the remaining time,
 	// or no longer if that is 0. It may be nil.
 	ReportCold func(r magnolialedge.Registration, remaining time.Duration)
+	// MayLackRoutes reports whether newer routes may be in force at other entries. A
+	// request without a route is then told to come back. nil means never.
+	MayLackRoutes func() bool
 	// Quotas keeps the limits of client accounts. It may be nil.
 	Quotas AccountQuotas
 	// Admission turns on admission control by priority. It is on, too, while the
@@ -265,6 +268,10 @@
 	x.match, x.hasRoute = x.f.routes.Find(x.req.Host, x.req.Path)
 }
 
+func (f *Forwarder) mayLackRoutes() bool {
+	return f.cfg.MayLackRoutes != nil && f.cfg.MayLackRoutes()
+}
+
 // AllowedRegions returns the regions in which requests of a host may be served, or nil if
 // there is no restriction.
 func (f *Forwarder) AllowedRegions(host string) []string {
--- a/kind.go
+++ b/kind.go
@@ -38,6 +38,7 @@
 	KindPending          ErrorKind = "pending"
 	KindInternal         ErrorKind = "internal"
 	KindNoRoute          ErrorKind = "noRoute"
+	KindRoutesOutdated   ErrorKind = "routesOutdated"
 	KindRequestTimeout   ErrorKind = "requestTimeout"
 	KindBodyTooLarge     ErrorKind = "bodyTooLarge"
 	KindHeaderTooLarge   ErrorKind = "headerTooLarge"
@@ -87,6 +88,7 @@
 	KindPending:          {http.StatusAccepted, OutcomeUnknown, 2 * time.Second},
 	KindInternal:         {http.StatusInternalServerError, OutcomeUnknown, time.Second},
 	KindNoRoute:          {http.StatusNotFound, OutcomeNotRun, 0},
+	KindRoutesOutdated:   {http.StatusServiceUnavailable, OutcomeNotRun, time.Second},
 	KindRequestTimeout:   {http.StatusRequestTimeout, OutcomeNotRun, 0},
 	KindBodyTooLarge:     {http.StatusRequestEntityTooLarge, OutcomeNotRun, 0},
 	KindHeaderTooLarge:   {http.StatusRequestHeaderFieldsTooLarge, OutcomeNotRun, 0},
