Send backup streams only what their subscriber lacks

Probes are spread over 0.24 of the bound, few of them early, so that the first one that succeeds spares the others theirs. Two of three backup peers are of the same region.

--- a/core/mirror/backup.go
+++ b/core/mirror/backup.go
@@ -99,7 +99,8 @@
 
 // IsProbeDue reports whether an entry that otherwise leaves the store to its sources is to
 // call it: no other entry confirms that the items are up to date, and the store may serve
-// this one alone. jitter spreads the first calls of many entries.
+// this one alone. jitter spreads the calls of many entries, so that the first one that
+// succeeds spares the others theirs.
 func (b *Backups) IsProbeDue(now time.Time, confirmedAt time.Time, jitter time.Duration) bool {
 	return b.IsSilent(now, confirmedAt) && !b.silentSince.IsZero() && b.countConfirming(now) == 0 && now.Sub(b.nextProbe) >= jitter
 }
--- a/core/mirror/backup_test.go
+++ b/core/mirror/backup_test.go
@@ -29,13 +29,14 @@
 		learned := timing.WatchInterval + roundTrip
 		rounds := time.Duration(maxBackups-initialBackups) * timing.BackupInterval
 		for way, steps := range map[string][]time.Duration{
-			"own watch":                                     {learned},
-			"source":                                        {learned, roundTrip},
-			"source that ends, and its successor":           {timing.IdleTimeout, listTime, timing.WatchInterval},
-			"connection to the store that is silent":        {max(callTime, timing.WatchWait), retryTime, roundTrip, roundTrip},
-			"store that hangs for this entry or its source": {timing.BackupDelay(), 2 * roundTrip},
-			"as before, and backup peers that are silent":   {timing.BackupDelay(), rounds, 2 * roundTrip},
-			"store that replies a second late":              {time.Second, time.Second, roundTrip},
+			"own watch":                           {learned},
+			"source":                              {learned, roundTrip},
+			"source that ends, and its successor": {timing.IdleTimeout, listTime, timing.WatchInterval},
+			"store that serves only this entry, which leaves it to its sources": {timing.BackupDelay(), timing.ProbeSpread, 2 * roundTrip},
+			"connection to the store that is silent":                            {max(callTime, timing.WatchWait), retryTime, roundTrip, roundTrip},
+			"store that hangs for this entry or its source":                     {timing.BackupDelay(), 2 * roundTrip},
+			"as before, and backup peers that are silent":                       {timing.BackupDelay(), rounds, 2 * roundTrip},
+			"store that replies a second late":                                  {time.Second, time.Second, roundTrip},
 		} {
 			var sum time.Duration
 			for _, step := range steps {
--- a/core/mirror/timing.go
+++ b/core/mirror/timing.go
@@ -24,6 +24,9 @@
 	// two attempts at such an entry.
 	BackupMargin   time.Duration
 	BackupInterval time.Duration
+	// ProbeSpread is the time over which entries that otherwise leave the store to their
+	// sources call it while no entry confirms anything.
+	ProbeSpread time.Duration
 }
 
 const (
@@ -40,6 +43,7 @@
 	heartbeatShare      = 0.23
 	backupMarginShare   = 0.1
 	backupIntervalShare = 0.06
+	probeSpreadShare    = 0.24
 	// idleShare is the fraction of the bound after which a silent source is given
 	// up. The rest is left for its successor to list the store, for one watch
 	// interval and for the stream to this entry.
@@ -58,6 +62,7 @@
 		IdleTimeout:    share(bound, idleShare),
 		BackupMargin:   share(bound, backupMarginShare),
 		BackupInterval: share(bound, backupIntervalShare),
+		ProbeSpread:    share(bound, probeSpreadShare),
 	}
 }
 
--- a/io/mirror/backup.go
+++ b/io/mirror/backup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -23,8 +24,9 @@
 	*mirror.Backups
 	// cancels ends the stream of an address.
 	cancels map[string]context.CancelFunc
-	// probeJitter spreads the calls of entries that probe the store, and isProbing is set
-	// during one.
+	// probeJitter spreads the calls of entries that probe the store. Few entries of a fleet
+	// have a small one, so that the first call can end before the others begin. isProbing is
+	// set during a call.
 	probeJitter time.Duration
 	isProbing   bool
 	// silentAt is when the primary way was last found silent, or zero while it confirms.
@@ -35,7 +37,7 @@
 	return backups{
 		Backups:     mirror.NewBackups(timing),
 		cancels:     map[string]context.CancelFunc{},
-		probeJitter: rand.N(2 * timing.BackupInterval),
+		probeJitter: time.Duration(math.Sqrt(rand.Float64()) * float64(timing.ProbeSpread)),
 	}
 }
 
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -123,6 +123,7 @@
 	unreachable bool
 	subscribers map[chan message]struct{}
 	snapshots   snapshotCache
+	history     history
 }
 
 // NewFollower returns a Follower without any items.
@@ -268,6 +269,9 @@
 	d := a.delivery(now, f.reachedAt)
 	f.confirm(now, a, m.Revision)
 	own := f.mirror.Position()
+	if own.Era != m.Era || own.Revision == 0 {
+		defer func() { f.history.reset(f.mirror.Position()) }()
+	}
 	if a.isBackup {
 		defer f.relistAfter(own)
 	}
@@ -330,6 +334,7 @@
 	if len(changes) > 0 {
 		f.cfg.OnChange(changes, d)
 	}
+	f.history.record(f.mirror.Position(), changes)
 	if len(changes) > 0 || f.reachedAt.Sub(f.publishedAt) >= f.cfg.Timing.Heartbeat/2 {
 		f.publish(message{Items: changes, Position: f.mirror.Position()})
 		f.publishedAt = f.reachedAt
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -188,14 +188,15 @@
 }
 
 // subscribe returns a snapshot of all items and a channel with the changes that follow. A
-// subscriber that lacks no changes receives only the position.
+// subscriber whose position is known receives only the changes after it, unless some of them
+// are forgotten.
 func (f *Follower) subscribe(known magnolialedge.Position) (message, chan message) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sub := make(chan message, maxQueuedMessages)
 	f.subscribers[sub] = struct{}{}
-	if own := f.mirror.Position(); own.Era == known.Era && !known.Before(own) {
-		return message{Position: own}, sub
+	if changes, ok := f.history.after(known); ok {
+		return message{Items: changes, Position: f.mirror.Position()}, sub
 	}
 	return message{Snapshot: true, Compressed: f.compressedSnapshot(), Position: f.mirror.Position()}, sub
 }
--- a/io/node/ranking.go
+++ b/io/node/ranking.go
@@ -67,9 +67,9 @@
 	return m.reach.IsUnreachable(now, name)
 }
 
-// backupPeers returns the peer addresses of all other entries that respond, in random order
-// and by turns from this region and from others: the store may refuse a region, and
-// transfers between regions cost more.
+// backupPeers returns the peer addresses of all other entries that respond, in random order,
+// two of this region for each one of others: the store may refuse a region, but transfers
+// between regions cost more.
 func (m *members) backupPeers() []string {
 	now := time.Now()
 	var own, others []string
@@ -84,20 +84,18 @@
 	}
 	rand.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return alternate(own, others)
+	return interleave(own, others)
 }
 
-// alternate returns the elements of both lists by turns, starting with those of a, and then
-// the rest of the longer one.
-func alternate(a, b []string) []string {
+// interleave returns the elements of both lists, two of a for each one of b while there are
+// any.
+func interleave(a, b []string) []string {
 	out := make([]string, 0, len(a)+len(b))
-	for i := range max(len(a), len(b)) {
-		if i < len(a) {
-			out = append(out, a[i])
-		}
-		if i < len(b) {
-			out = append(out, b[i])
-		}
+	for len(a) > 0 || len(b) > 0 {
+		n := min(2, len(a))
+		out, a = append(out, a[:n]...), a[n:]
+		n = min(1, len(b))
+		out, b = append(out, b[:n]...), b[n:]
 	}
 	return out
 }
