--- a/core/mirror/backup_test.go
+++ b/core/mirror/backup_test.go
@@ -14,8 +14,10 @@
 const (
 	// roundTrip is the time of a call between regions.
 	roundTrip = 50 * time.Millisecond
-	// callTime is the timeout of a call to the store that does not wait.
-	callTime = 1500 * time.Millisecond
+	// callTime is the shortest timeout of a call to the store, and waitMargin the part of
+	// the timeout of a call that is added to its wait.
+	callTime   = 1500 * time.Millisecond
+	waitMargin = 700 * time.Millisecond
 	// retryTime is the longest delay before the next call to a store that failed.
 	retryTime = 300 * time.Millisecond
 )
@@ -33,7 +35,7 @@
 			"source":                              {learned, roundTrip},
 			"source that ends, and its successor": {timing.IdleTimeout, listTime, timing.WatchInterval},
 			"store that serves only this entry, which leaves it to its sources": {timing.BackupDelay(), timing.ProbeSpread, 2 * roundTrip},
-			"connection to the store that is silent":                            {max(callTime, timing.WatchWait), retryTime, roundTrip, roundTrip},
+			"connection to the store that is silent":                            {max(callTime, timing.WatchWait+waitMargin), retryTime, roundTrip, roundTrip},
 			"store that hangs for this entry or its source":                     {timing.BackupDelay(), 2 * roundTrip},
 			"as before, and backup peers that are silent":                       {timing.BackupDelay(), rounds, 2 * roundTrip},
 			"store that replies a second late":                                  {time.Second, time.Second, roundTrip},
--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -26,6 +26,7 @@
 	{"stop an entry", stopEntry},
 	{"send SIGHUP to an entry", hangUpEntry},
 	{"disrupt an entry's link to the store", disruptStoreLink},
+	{"let calls to the store hang", hangStoreCalls},
 	{"cut entries off from the upstreams", cutOffEntries},
 	{"make the store fail", failStore},
 	{"compact the store's history", compactStore},
@@ -47,7 +48,11 @@
 
 // pauseEntry stops the process of an entry and resumes it.
 func pauseEntry(ctx context.Context, cl *cluster, r *rand.Rand) error {
-	e := cl.entries[r.IntN(len(cl.entries))]
+	e, release, ok := reserve(cl, r, cl.entries)
+	if !ok {
+		return nil
+	}
+	defer release()
 	defer cl.disturbances.begin(e.settings.Name)()
 	p := e.process()
 	p.signal(syscall.SIGSTOP)
@@ -89,7 +94,11 @@
 
 // disruptStoreLink disrupts the link between an entry and the store.
 func disruptStoreLink(ctx context.Context, cl *cluster, r *rand.Rand) error {
-	e := cl.entries[r.IntN(len(cl.entries))]
+	e, release, ok := reserve(cl, r, cl.entries)
+	if !ok {
+		return nil
+	}
+	defer release()
 	defer cl.disturbances.begin(e.settings.Name)()
 	e.storeLink.SetBehaviour(randomLinkFault(r))
 	pause.Sleep(ctx, randomDuration(r))
@@ -97,6 +106,38 @@
 	return nil
 }
 
+// storeCalls is reserved while calls to the store hang.
+const storeCalls = "calls to the store"
+
+// hangStoreCalls lets the calls of some entries to the store hang, but not those of one that
+// nothing else disturbs meanwhile. The others learn of changes from it in time, so that they
+// do not count as disturbed, unless they run an earlier release.
+func hangStoreCalls(ctx context.Context, cl *cluster, r *rand.Rand) error {
+	_, end, ok := reserve(cl, r, []string{storeCalls})
+	if !ok {
+		return nil
+	}
+	defer end()
+	connected, release, ok := reserve(cl, r, cl.entries)
+	if !ok {
+		return nil
+	}
+	defer release()
+	hanging := []stand.LinkBehaviour{{DropForward: true}, {DropBackward: true}, {Frozen: true}}[r.IntN(3)]
+	for _, e := range cl.entries {
+		if e == connected || r.IntN(3) == 0 {
+			continue
+		}
+		if cl.cfg.PreviousBinary != "" {
+			defer cl.disturbances.begin(e.settings.Name)()
+		}
+		e.storeLink.SetBehaviour(hanging)
+		defer e.storeLink.SetBehaviour(stand.LinkBehaviour{})
+	}
+	pause.Sleep(ctx, 2*randomDuration(r))
+	return nil
+}
+
 func randomLinkFault(r *rand.Rand) stand.LinkBehaviour {
 	return []stand.LinkBehaviour{
 		{Down: true},
