Keep a source that other entries tell the changes

Change: the number of entries in between is checked when a stream begins, not later. The age of what a source knows is checked as before.

--- a/io/mirror/reader.go
+++ b/io/mirror/reader.go
@@ -97,6 +97,9 @@
 			return err
 		}
 		if isFirst {
+			// A source that loses the store later is kept as long as other entries tell it
+			// the changes: its subscribers would all need snapshots of another one.
+			l.hops = unlimitedHops
 			f.cfg.Log.Log(event.SourceFollowed, "source", address, "ageMs", m.AgeMs, "hops", m.Hops, "revision", m.Revision, "ownRevision", f.Revision(), "backup", l.isBackup)
 		}
 		if err := m.decompress(); err != nil {
