Compress changes, and open fewer backup streams

Cause: while the watches of all entries were silent, each opened up to six backup streams, and each of them delivered the next version of the routes, some tens of kilobytes, also between regions.

At most four backup streams, and one that confirms is kept.

--- a/core/mirror/backup.go
+++ b/core/mirror/backup.go
@@ -10,10 +10,10 @@
 	initialBackups = 3
 	// maxBackups limits the backup streams. Beyond it, the one whose peer knows least is
 	// replaced.
-	maxBackups = 6
+	maxBackups = 4
 	// keptBackups is the number of streams that stay open once that many confirm that the
 	// items are up to date.
-	keptBackups = 2
+	keptBackups = 1
 )
 
 // BackupStream is a stream of changes from another entry that is open beside the primary
@@ -88,13 +88,11 @@
 	return open, closed
 }
 
-// schedule sets the time of the next opening. When no peer has known more for as long as a
-// change may take, the store is away for all, and further peers are tried less often.
+// schedule sets the time of the next opening. The longer no peer confirms anything, the more
+// likely the store is away for all, and the less often further peers are tried.
 func (b *Backups) schedule(now time.Time) {
-	if now.Sub(b.silentSince) > b.timing.Bound {
-		b.interval = min(2*b.interval, b.timing.Bound)
-	}
 	b.nextOpen = now.Add(b.interval)
+	b.interval = min(2*b.interval, b.timing.Bound)
 }
 
 // IsProbeDue reports whether an entry that otherwise leaves the store to its sources is to
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -336,7 +336,7 @@
 	}
 	f.history.record(f.mirror.Position(), changes)
 	if len(changes) > 0 || f.reachedAt.Sub(f.publishedAt) >= f.cfg.Timing.Heartbeat/2 {
-		f.publish(message{Items: changes, Position: f.mirror.Position()})
+		f.publish(f.changesMessage(changes))
 		f.publishedAt = f.reachedAt
 	}
 }
--- a/io/mirror/snapshot.go
+++ b/io/mirror/snapshot.go
@@ -36,6 +36,32 @@
 	return compressed
 }
 
+// minCompressedBytes is the size of the values from which changes are compressed: many
+// entries receive them, also from other zones.
+const minCompressedBytes = 1 << 10
+
+// changesMessage returns the message with changes that led to the present position; f.mu must
+// be held.
+func (f *Follower) changesMessage(changes []magnolialedge.Item) message {
+	m := message{Position: f.mirror.Position()}
+	size := 0
+	for _, it := range changes {
+		size += len(it.Value)
+	}
+	if size < minCompressedBytes {
+		m.Items = changes
+		return m
+	}
+	compressed, err := compressItems(changes)
+	if err != nil {
+		f.cfg.Log.Log(event.SourceLost, "err", err)
+		m.Items = changes
+		return m
+	}
+	m.Compressed = compressed
+	return m
+}
+
 // compressItems returns the items as gzip-compressed JSON.
 func compressItems(items []magnolialedge.Item) ([]byte, error) {
 	encoded, err := json.Marshal(items)
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -54,8 +54,7 @@
 	// Snapshot is set when Items are all items rather than changes.
 	Snapshot bool                 `json:"snapshot,omitempty"`
 	Items    []magnolialedge.Item `json:"items,omitempty"`
-	// Compressed holds the items of a snapshot in place of Items, as
-	// gzip-compressed JSON.
+	// Compressed holds the items in place of Items, as gzip-compressed JSON.
 	Compressed []byte `json:"packed,omitempty"`
 	magnolialedge.Position
 	// AgeMs is the time since the source last reached the store.
@@ -196,7 +195,7 @@
 	sub := make(chan message, maxQueuedMessages)
 	f.subscribers[sub] = struct{}{}
 	if changes, ok := f.history.after(known); ok {
-		return message{Items: changes, Position: f.mirror.Position()}, sub
+		return f.changesMessage(changes), sub
 	}
 	return message{Snapshot: true, Compressed: f.compressedSnapshot(), Position: f.mirror.Position()}, sub
 }
