--- a/core/mirror/backup.go
+++ b/core/mirror/backup.go
@@ -88,11 +88,13 @@
 	return open, closed
 }
 
-// schedule sets the time of the next opening. The longer no peer confirms anything, the more
-// likely the store is away for all, and the less often further peers are tried.
+// schedule sets the time of the next opening. When no peer has known more for as long as a
+// change may take, the store is away for all, and further peers are tried less often.
 func (b *Backups) schedule(now time.Time) {
+	if now.Sub(b.silentSince) > b.timing.Bound {
+		b.interval = min(2*b.interval, b.timing.Bound)
+	}
 	b.nextOpen = now.Add(b.interval)
-	b.interval = min(2*b.interval, b.timing.Bound)
 }
 
 // IsProbeDue reports whether an entry that otherwise leaves the store to its sources is to
