--- a/io/mirror/backup.go
+++ b/io/mirror/backup.go
@@ -119,7 +119,7 @@
 func (f *Follower) probeStore(ctx context.Context) {
 	err := f.cfg.ProbeStore(ctx)
 	if err == nil {
-		err = f.fetchMissed(ctx)
+		err = f.fetch(ctx, 0, true)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -128,24 +128,6 @@
 	f.cfg.Log.Log(event.StoreProbed, "err", err, "revision", f.mirror.Position().Revision)
 }
 
-// fetchMissed applies the changes of the store after this entry's position, without waiting
-// for any.
-func (f *Follower) fetchMissed(ctx context.Context) error {
-	asked, start := f.position(), time.Now()
-	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, asked.Revision, 0)
-	if err != nil {
-		return err
-	}
-	page.Position = page.Position.WithEra(asked.Era)
-	if err := f.checkEra(page.Era, asked.Era); err != nil {
-		return err
-	}
-	a := fromStore(start)
-	a.isBackup = true
-	f.apply(time.Now(), a, message{Items: page.Items, Position: page.Position})
-	return nil
-}
-
 // BackupStreams returns the number of open backup streams.
 func (f *Follower) BackupStreams() int {
 	f.mu.Lock()
--- a/io/mirror/listing.go
+++ b/io/mirror/listing.go
@@ -72,7 +72,13 @@
 
 // fetchChanges waits for changes of the store and applies them.
 func (f *Follower) fetchChanges(ctx context.Context) error {
-	asked, wait, start := f.position(), f.watchWait(), time.Now()
+	return f.fetch(ctx, f.watchWait(), false)
+}
+
+// fetch waits for changes of the store for up to wait and applies them. isBackup is set for a
+// call beside the primary way.
+func (f *Follower) fetch(ctx context.Context, wait time.Duration, isBackup bool) error {
+	asked, start := f.position(), time.Now()
 	page, err := f.cfg.Store.Changes(ctx, f.cfg.Prefix, asked.Revision, wait)
 	if err != nil {
 		return err
@@ -83,7 +89,9 @@
 	if err := f.checkEra(page.Era, asked.Era); err != nil {
 		return err
 	}
-	f.apply(now, fromStore(reachedAt), message{Items: page.Items, Position: page.Position})
+	a := fromStore(reachedAt)
+	a.isBackup = isBackup
+	f.apply(now, a, message{Items: page.Items, Position: page.Position})
 	return nil
 }
 
