Keep two backup streams that confirm, and close the others

Cause: an entry kept up to four streams that all confirmed its items, each of which delivered every change while its primary way stayed silent.

Change: the first two that confirm are kept.

Result: go test ./core/mirror passes.

--- a/core/mirror/backup.go
+++ b/core/mirror/backup.go
@@ -13,7 +13,7 @@
 	maxBackups = 4
 	// keptBackups is the number of streams that stay open once that many confirm that the
 	// items are up to date.
-	keptBackups = 1
+	keptBackups = 2
 )
 
 // BackupStream is a stream of changes from another entry that is open beside the primary
@@ -71,7 +71,7 @@
 	}
 	switch confirming := b.countConfirming(now); {
 	case confirming >= keptBackups:
-		return nil, b.closeIf(func(s BackupStream) bool { return !b.isConfirming(now, s) })
+		return nil, b.closeUnneeded(now)
 	case confirming > 0 || now.Before(b.nextOpen):
 		return nil, nil
 	}
@@ -175,6 +175,19 @@
 	return n
 }
 
+// closeUnneeded removes all streams but the first keptBackups that confirm the items, and
+// returns their addresses.
+func (b *Backups) closeUnneeded(now time.Time) []string {
+	kept := 0
+	return b.closeIf(func(s BackupStream) bool {
+		if !b.isConfirming(now, s) {
+			return true
+		}
+		kept++
+		return kept > keptBackups
+	})
+}
+
 // closeIf removes the streams that match accepts, and returns their addresses.
 func (b *Backups) closeIf(match func(BackupStream) bool) []string {
 	var closed []string
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -317,9 +317,9 @@
 	}
 }
 
-// relistAfter makes the next call list the store if a backup stream has changed the
-// position since. Its peer may have held back removals older than that position, which the
-// changes after it do not include. f.mu must be held.
+// relistAfter makes the next call list the store if a backup stream has moved the position
+// on from the given one. Its peer may have held back removals older than the new position,
+// which the changes after it do not include. f.mu must be held.
 func (f *Follower) relistAfter(position magnolialedge.Position) {
 	if f.mirror.Position() != position {
 		f.isListed = false
