Wait longer for confirmations of earlier releases

Cause: an entry of an earlier release watches the store for up to 1.2 s and passes confirmations on with its next heartbeat.

Result: go test ./io/mirror (the named tests) pass.

--- a/io/mirror/delivery.go
+++ b/io/mirror/delivery.go
@@ -31,16 +31,26 @@
 	hops int
 	// isBackup is set for a message of a backup stream.
 	isBackup bool
+	// allowance is by how much the next confirmation may be later than usual.
+	allowance time.Duration
 }
 
+// earlierWatchWait is the time between two confirmations of the store at entries of earlier
+// releases.
+const earlierWatchWait = 1200 * time.Millisecond
+
 // fromStore returns the arrival of a reply of the store.
 func fromStore(reachedAt time.Time) arrival {
 	return arrival{origin: mirror.FromStore, reachedAt: reachedAt}
 }
 
 // fromPeer returns the arrival of a message of a peer's stream.
-func fromPeer(now time.Time, address string, m message) arrival {
-	return arrival{origin: mirror.FromPeer, source: address, reachedAt: now.Add(-m.age()), hops: m.Hops + 1}
+func fromPeer(now time.Time, timing mirror.Timing, address string, m message) arrival {
+	a := arrival{origin: mirror.FromPeer, source: address, reachedAt: now.Add(-m.age()), hops: m.Hops + 1}
+	if !m.Relays {
+		a.allowance = max(0, earlierWatchWait+timing.Heartbeat-timing.WatchWait)
+	}
+	return a
 }
 
 // delivery returns the description of an arrival for OnChange; previous is when the store
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -308,8 +308,8 @@
 		f.backups.Confirm(a.source, a.reachedAt)
 		return
 	}
-	if a.reachedAt.After(f.confirmedAt) {
-		f.confirmedAt = a.reachedAt
+	if at := a.reachedAt.Add(a.allowance); at.After(f.confirmedAt) {
+		f.confirmedAt = at
 	}
 	if f.unreachable && isFresh {
 		f.unreachable = false
--- a/io/mirror/history_test.go
+++ b/io/mirror/history_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"magnolialedge"
+	"magnolialedge/core/mirror"
 )
 
 // Guards against a subscriber that misses a change between its position and the first message
@@ -48,3 +50,14 @@
 		require.Equal(t, expected, keys)
 	})
 }
+
+// Guards against backup streams that subscribers of an entry of an earlier release open again
+// and again in calm operation, because that one passes confirmations on later.
+func TestConfirmationsOfEarlierReleasesMayComeLater(t *testing.T) {
+	timing := mirror.TimingFor(mirror.DefaultPropagation)
+	now := time.Unix(100, 0)
+	require.Zero(t, fromPeer(now, timing, "a", message{Relays: true}).allowance)
+	earlierHeartbeat := mirror.DefaultPropagation / 5
+	waited := earlierWatchWait + earlierHeartbeat
+	require.Greater(t, fromPeer(now, timing, "a", message{}).allowance+timing.BackupDelay(), waited)
+}
--- a/io/mirror/listing.go
+++ b/io/mirror/listing.go
@@ -119,7 +119,8 @@
 	if f.unreachable || f.replyDelay >= slowReply {
 		return 0
 	}
-	return max(0, f.cfg.Timing.WatchWait-time.Since(f.confirmedAt))
+	untilDue := f.cfg.Timing.WatchWait - time.Since(f.confirmedAt)
+	return min(f.cfg.Timing.WatchWait, max(0, untilDue))
 }
 
 // listUnlessInitialized lists the store if the sources to which a new entry left the
--- a/io/mirror/reader.go
+++ b/io/mirror/reader.go
@@ -109,7 +109,7 @@
 			f.cfg.OnUnreachable(m.Unreachable)
 		}
 		now := time.Now()
-		a := fromPeer(now, address, m)
+		a := fromPeer(now, f.cfg.Timing, address, m)
 		a.isBackup = l.isBackup
 		f.apply(now, a, m)
 		if l.staleness != unlimitedStaleness {
--- a/io/mirror/restoration.go
+++ b/io/mirror/restoration.go
@@ -77,6 +77,6 @@
 		return err
 	}
 	now := time.Now()
-	f.apply(now, fromPeer(now, address, m), m)
+	f.apply(now, fromPeer(now, f.cfg.Timing, address, m), m)
 	return nil
 }
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -61,6 +61,9 @@
 	AgeMs int64 `json:"ageMs"`
 	// Hops is the number of entries between the source and the store.
 	Hops int `json:"hops,omitempty"`
+	// Relays is set by entries that pass confirmations on at once. Those of earlier
+	// releases send them with the next heartbeat.
+	Relays bool `json:"relays,omitempty"`
 	// Unreachable names the entries that the source found not to respond.
 	Unreachable []string `json:"unreachable,omitempty"`
 }
@@ -300,6 +303,7 @@
 func (f *Follower) send(w http.ResponseWriter, m message) bool {
 	m.AgeMs = f.Staleness(time.Now()).Milliseconds()
 	m.Hops = f.hopsToStore()
+	m.Relays = true
 	line, err := json.Marshal(m)
 	if err != nil {
 		f.cfg.Log.Log(event.SourceLost, "err", err)
