--- a/io/mirror/spread_test.go
+++ b/io/mirror/spread_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -180,19 +181,21 @@
 		name                      string
 		entries, affected, paused int
 		mode                      storeMode
+		// bound is the bound on the spread of changes, or 0 for the default.
+		bound time.Duration
 	}{
-		{"a store that hangs for one", 14, 1, 1, storeHangs},
-		{"a store that hangs for five", 14, 5, 2, storeHangs},
-		{"a store that serves one", 14, 13, 0, storeHangs},
-		{"a store that resets all calls but those of one", 14, 13, 0, storeFails},
-		{"a store that replies a second late", 14, 14, 0, storeLags},
-		{"a store that hangs for a third of a large fleet", 312, 110, 20, storeHangs},
-		{"a store that serves one of a large fleet", 312, 311, 0, storeHangs},
+		{"a store that hangs for one", 14, 1, 1, storeHangs, 0},
+		{"a store that hangs for five", 14, 5, 2, storeHangs, 0},
+		{"a store that serves one", 14, 13, 0, storeHangs, 0},
+		{"a store that resets all calls but those of one", 14, 13, 0, storeFails, 0},
+		{"a store that replies a second late", 14, 14, 0, storeLags, 0},
+		{"a store that hangs for a third of a large fleet", 312, 110, 20, storeHangs, 0},
+		{"a store that serves one of a large fleet", 312, 311, 0, storeHangs, 0},
+		{"a store that serves one of a large fleet, bound of its size", 312, 311, 0, storeHangs, largeFleetBound},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			bound := largeFleetBound
+			bound := cmp.Or(c.bound, mirror.DefaultPropagation)
 			if c.entries < 100 {
-				bound = mirror.DefaultPropagation
 				t.Parallel()
 			}
 			s := newFakeStore()
