Begin no work that may outlast a stopping entry

Cause: an entry that stops knows when its process ends, but nothing that begins work compared with that time. It waited for requests in flight, while arrivals, the queue, retries, hedges and handovers went on as usual.

Change: core/drain.Schedule holds the end of the process. Whatever starts work asks it: the arrival of a request, the choice of an upstream, each attempt and handover right before it is sent, hedges. Others get 503 "leaving", not run, at once. The Retry-After of "leaving", which nothing used before, is 10 ms: another entry serves the request.

--- /dev/null
+++ b/core/drain/doc.go
@@ -0,0 +1,2 @@
+// Package drain decides which work an entry may still begin after it was told to stop.
+package drain
--- a/core/pick/unservable.go
+++ b/core/pick/unservable.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"magnolialedge"
+	"magnolialedge/core/drain"
 )
 
 // WakeUnservable wakes the waiters that no upstream may serve any longer, so that they are
@@ -20,6 +21,18 @@
 	})
 }
 
+// WakeUnpermitted wakes the waiters that may no longer be sent before this entry stops, so that
+// they are refused at once.
+func (q *Queue) WakeUnpermitted(now time.Time, s drain.Schedule) {
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
+		if s.Permits(now, drain.Work{Deadline: w.Request.Deadline}) {
+			return false
+		}
+		w.Wake(WakeForCapacity)
+		return true
+	})
+}
+
 // regionsKey identifies the allowed regions of a request, in their order.
 func (req Request) regionsKey() string {
 	if req.Regions == nil {
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"magnolialedge/core/drain"
 	"magnolialedge/io/event"
 	"magnolialedge/io/pause"
 )
@@ -19,22 +20,30 @@
 	// stopMargin is the time reserved between the end of draining and the forced
 	// end of the process.
 	stopMargin = 400 * time.Millisecond
+	// responseMargin is the time reserved for writing the last responses before the forced
+	// end.
+	responseMargin = 100 * time.Millisecond
 	// stopPollInterval is the time between two checks of the requests in flight.
 	stopPollInterval = 50 * time.Millisecond
 )
 
 // stop removes this entry from resolve responses, waits until all requests in
-// flight have ended or the stop timeout is near, and returns.
+// flight have ended or the stop timeout is near, and returns. Work that may last
+// longer is refused meanwhile.
 func (n *Node) stop(ctx context.Context) {
 	start := time.Now()
 	n.isLeaving.Store(true)
+	deadline := start.Add(n.settings.StopTimeout - stopMargin)
+	n.forwarder.Drain(drain.NewSchedule(drain.Config{
+		Notice: idleCloseDelay,
+		Work:   deadline.Sub(start) - responseMargin,
+	}, start))
 	n.credits.leave()
 	n.members.setLeaving()
 	n.broadcastSelf()
 	n.callerServer.DisableKeepAlives()
 	n.handedServer.DisableKeepAlives()
 	n.log.Log(event.Draining, "inFlight", n.inFlight(), "connections", n.callerServer.Connections())
-	deadline := start.Add(n.settings.StopTimeout - stopMargin)
 	for time.Now().Before(deadline) {
 		elapsed := time.Since(start)
 		if elapsed >= idleCloseDelay {
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -36,8 +36,11 @@
 // attempt sends the request to an upstream and records the result. For a streamed
 // response, the result is recorded when the stream ends.
 func (x *exchange) attempt(ctx context.Context, p *placement) attemptResult {
-	if x.currentIdentity().fault != "" {
-		return x.abandonAttempt(p)
+	switch {
+	case x.currentIdentity().fault != "":
+		return x.abandonAttempt(p, errUnauthorized, "unauthorized")
+	case !x.maySend():
+		return x.abandonAttempt(p, errLeaving, "leaving")
 	}
 	start := time.Now()
 	resp, sent, err := p.conn.RoundTrip(ctx, x.upstreamRequest())
@@ -57,12 +60,11 @@
 	return r
 }
 
-// abandonAttempt ends an attempt before the request is sent, because its key is no longer
-// valid.
-func (x *exchange) abandonAttempt(p *placement) attemptResult {
+// abandonAttempt ends an attempt before the request is sent.
+func (x *exchange) abandonAttempt(p *placement, err error, label string) attemptResult {
 	x.f.endAttempt(p, x.pickReq, 0, pick.AttemptCanceled)
 	x.f.cfg.Pool.Put(p.conn)
-	return attemptResult{err: errUnauthorized, notRun: true, summary: x.summarize(p, "unauthorized", 0)}
+	return attemptResult{err: err, notRun: true, summary: x.summarize(p, label, 0)}
 }
 
 // upstreamRequest returns the request as it is sent to an upstream.
@@ -198,6 +200,8 @@
 	switch {
 	case errors.Is(r.err, errUnauthorized):
 		return magnolialedge.KindUnauthorized
+	case errors.Is(r.err, errLeaving):
+		return magnolialedge.KindLeaving
 	case r.invalid:
 		return magnolialedge.KindBadAnswer
 	case r.notRun && r.err != nil:
--- /dev/null
+++ b/io/serve/drain.go
@@ -0,0 +1,57 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"magnolialedge"
+	"magnolialedge/core/drain"
+	"magnolialedge/io/front"
+)
+
+// errLeaving means that the request was not sent because it may last longer than this entry.
+var errLeaving = errors.New("this entry is stopping")
+
+// Drain makes the forwarder begin no more work than s permits. Requests that it does not permit
+// are refused, those that wait in a queue when the notice ends.
+func (f *Forwarder) Drain(s drain.Schedule) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drain = s
+	time.AfterFunc(time.Until(s.NoticeEnd()), f.wakeUnpermitted)
+}
+
+// wakeUnpermitted wakes the waiting requests that may no longer be sent.
+func (f *Forwarder) wakeUnpermitted() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, q := range f.queues {
+		q.WakeUnpermitted(now, f.drain)
+	}
+}
+
+// maySend reports whether the request may be sent to an upstream or to another entry now, as
+// far as a stop of this entry permits it.
+func (x *exchange) maySend() bool {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	return x.maySendLocked(time.Now())
+}
+
+// maySendLocked is maySend; the caller holds f.mu.
+func (x *exchange) maySendLocked(now time.Time) bool {
+	f := x.f
+	return f.drain.Permits(now, drain.Work{Deadline: x.deadline, Expected: time.Duration(f.fleet.ServiceTimeNanos(x.pickReq))})
+}
+
+// rejectLeaving returns the response to a request that may not be sent because this entry
+// stops.
+func (x *exchange) rejectLeaving(ctx context.Context) *front.Response {
+	if x.mayHaveRun || x.fallback != nil {
+		return x.fail(ctx, magnolialedge.KindUpstreamLost)
+	}
+	return x.reject(magnolialedge.KindLeaving, magnolialedge.ErrorResponseFor(magnolialedge.KindLeaving).RetryAfter)
+}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -170,6 +170,8 @@
 		return x.reject(magnolialedge.KindUnauthorized, 0)
 	case hasNoAllowedRegion(x.pickReq):
 		return x.rejectForShortage(magnolialedge.KindNoAllowedRegion)
+	case !x.maySend():
+		return x.rejectLeaving(ctx)
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
@@ -245,6 +247,9 @@
 		if kind := x.refresh(); kind != "" {
 			return nil, kind
 		}
+		if !x.maySend() {
+			return nil, magnolialedge.KindLeaving
+		}
 		if x.shouldHandOver() || x.shouldPassBack() {
 			return nil, magnolialedge.KindNoUpstream
 		}
--- a/io/serve/handed.go
+++ b/io/serve/handed.go
@@ -93,7 +93,7 @@
 		return resp
 	}
 	resp.Header.Set(x.f.cfg.Headers.NotRun, "1")
-	if x.errorKind == magnolialedge.KindNoUpstream {
+	if x.errorKind == magnolialedge.KindNoUpstream || x.errorKind == magnolialedge.KindLeaving {
 		resp.Header.Set(declinedHeader, string(x.errorKind))
 	}
 	return resp
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -93,6 +93,9 @@
 		if kind := x.refresh(); kind != "" {
 			return x.fail(ctx, kind)
 		}
+		if !x.maySend() {
+			return x.rejectLeaving(ctx)
+		}
 		h, ok, hasHelpers := x.f.pickHelper(x, x.pickReq.Regions)
 		if !ok {
 			isDeclined = isDeclined || hasHelpers
@@ -146,6 +149,11 @@
 		return attemptResult{err: err, notRun: true, passedBack: true, summary: x.summarizeHandover(p, "unreached", time.Since(start))}
 	}
 	p.conn = conn
+	if !x.maySend() {
+		f.endHandover(helper, x.pickReq.Service, false)
+		f.cfg.HelperPool.Put(conn)
+		return attemptResult{err: errLeaving, notRun: true, summary: x.summarizeHandover(p, "leaving", time.Since(start))}
+	}
 	resp, sent, err := conn.RoundTrip(ctx, req)
 	r := x.classify(resp, sent, err)
 	label := handoverLabel(r)
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -67,7 +67,7 @@
 	if !x.mayHandOver() || !x.f.isLost(x.pickReq.Service) || x.sentAttempts+2 > max(1, x.match.MaxAttempts) {
 		return false
 	}
-	if x.currentIdentity().fault != "" {
+	if x.currentIdentity().fault != "" || !x.maySend() {
 		return false
 	}
 	x.f.mu.Lock()
@@ -177,6 +177,9 @@
 	f := x.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !x.maySendLocked(time.Now()) {
+		return pick.Candidate{}, false
+	}
 	req, _ := x.refreshed()
 	c, ok := f.fleet.HedgeCandidate(time.Now(), req, running)
 	if !ok || !commit {
--- a/io/serve/response.go
+++ b/io/serve/response.go
@@ -20,6 +20,9 @@
 	if kind == magnolialedge.KindUnauthorized && !x.mayHaveRun {
 		return x.reject(kind, 0)
 	}
+	if kind == magnolialedge.KindLeaving {
+		return x.rejectLeaving(ctx)
+	}
 	if ctx.Err() != nil {
 		kind = magnolialedge.KindDeadlineExceeded
 	}
--- a/kind.go
+++ b/kind.go
@@ -93,7 +93,7 @@
 	KindBodyTooLarge:     {http.StatusRequestEntityTooLarge, OutcomeNotRun, 0},
 	KindHeaderTooLarge:   {http.StatusRequestHeaderFieldsTooLarge, OutcomeNotRun, 0},
 	KindBadAnswer:        {http.StatusBadGateway, OutcomeUnknown, time.Second},
-	KindLeaving:          {http.StatusServiceUnavailable, OutcomeNotRun, 100 * time.Millisecond},
+	KindLeaving:          {http.StatusServiceUnavailable, OutcomeNotRun, 10 * time.Millisecond},
 	KindUnauthorized:     {http.StatusUnauthorized, OutcomeNotRun, 0},
 	KindOverQuota:        {http.StatusTooManyRequests, OutcomeNotRun, time.Second},
 	KindNoAllowedRegion:  {http.StatusServiceUnavailable, OutcomeNotRun, time.Second},
