Tell callers that pipeline when their connection ends

What callers saw: a caller that always has another request pending on its connection was not told to leave a stopping entry.

Cause: closeAfterResponse announced the close only if no other request was pending, and the connection accepted further ones meanwhile. The same holds for idle connections that are closed at the connection limit or after a failed accept, once a caller begins to pipeline within their grace period.

Change: a connection can be ended with requests pending. It accepts no further one, the response to the last accepted one announces the close, and what arrives behind is read and dropped, so that no reset destroys that response. A connection that is ending for another reason accepts nothing from its next response on. If the only response in progress cannot announce the close any more, the next one does. A reader that begins to wait for the disconnect after the last response was written keeps its deadline.

--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -40,15 +40,20 @@
 	pipeline chan *exchange
 
 	mu sync.Mutex
-	// pending is the number of requests whose exchange has not ended.
-	pending int
+	// pending is the number of requests whose exchange has not ended, and undecided that of
+	// those whose response may still announce the close.
+	pending   int
+	undecided int
 	// isIdle is set while the connection waits for the first byte of a request.
 	isIdle bool
 	// isEnding is set when the connection closes after closeGracePeriod, or after
-	// the response to a request that begins within it.
+	// the responses to the requests that begin within it.
 	isEnding bool
-	// closed is set when no further request is accepted on the connection.
+	// closed is set when no further request is accepted on the connection. The response to
+	// the last one that was accepted announces the close.
 	closed bool
+	// hasEndedWrites is set when the last response has been written.
+	hasEndedWrites bool
 	// isOverLimit is set when the connection exceeds Config.MaxConns; its
 	// requests are rejected.
 	isOverLimit bool
@@ -99,14 +104,19 @@
 	var prior chan struct{}
 	for {
 		req, rejection, err := c.readRequest()
-		if err != nil {
+		switch {
+		case err != nil && c.isClosed():
+			c.awaitDisconnect()
+			return true
+		case err != nil:
 			return isDisconnect(err)
 		}
 		x := &exchange{req: req, response: make(chan *Response, 1), prior: prior, done: make(chan struct{})}
 		prior = x.done
 		if !c.beginRequest() {
 			c.server.releaseBody(req)
-			return false
+			c.awaitDisconnect()
+			return true
 		}
 		if rejection != nil {
 			x.isLast = true
@@ -124,10 +134,16 @@
 	}
 }
 
-// awaitDisconnect waits until the caller disconnects, and discards the bytes that it
-// sends after its last request.
+// awaitDisconnect waits until the caller disconnects, or until lingerTimeout after the last
+// response, and discards the bytes that the caller sends after its last request.
 func (c *conn) awaitDisconnect() {
-	_ = c.netConn.SetReadDeadline(time.Time{})
+	c.mu.Lock()
+	deadline := time.Time{}
+	if c.hasEndedWrites {
+		deadline = time.Now().Add(lingerTimeout)
+	}
+	_ = c.netConn.SetReadDeadline(deadline)
+	c.mu.Unlock()
 	c.headerLimit.ClearLimit()
 	_, _ = io.Copy(io.Discard, c.r)
 }
@@ -232,6 +248,9 @@
 	if tcp, ok := c.netConn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasEndedWrites = true
 	_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
@@ -256,20 +275,34 @@
 	}
 	c.server.inFlight.Add(1)
 	c.pending++
+	c.undecided++
 	return true
 }
 
 // closeAfterResponse reports whether the connection closes after the response that
-// is about to be written, because it is ending or keep-alives are disabled, and no
-// other request is pending. If so, no further request is accepted on it.
+// is about to be written, because no further request is accepted on it and none follows. While
+// keep-alives are disabled, none is accepted once none follows. On a connection that is
+// ending, none is accepted from this response on, because its caller may always have another one
+// pending.
 func (c *conn) closeAfterResponse() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isEnding && !c.server.keepAlivesDisabled.Load() {
+	isLast := c.undecided == 1
+	c.undecided--
+	c.closed = c.closed || c.isEnding || (isLast && c.server.keepAlivesDisabled.Load())
+	return c.closed && isLast
+}
+
+// endIfBusy makes the connection accept no further request if it has one whose response can
+// announce the close, and reports whether it did.
+func (c *conn) endIfBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.undecided == 0 {
 		return false
 	}
-	c.closed = c.closed || c.pending == 1
-	return c.closed
+	c.closed = true
+	return true
 }
 
 func (c *conn) endRequest(x *exchange) {
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -203,7 +203,7 @@
 var errBodyMemoryExceeded = errors.New("request bodies in progress use all memory reserved for bodies")
 
 // bodyReader renews the read deadline before each read, and reserves memory for the
-// bytes that it has read.
+// bytes that it has read. It fails once the connection accepts no further request.
 type bodyReader struct {
 	c         *conn
 	r         io.Reader
@@ -212,6 +212,9 @@
 
 // Read implements io.Reader.
 func (b *bodyReader) Read(p []byte) (int, error) {
+	if b.c.isClosed() {
+		return 0, errConnClosing
+	}
 	_ = b.c.netConn.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
 	n, err := b.r.Read(p)
 	if !b.c.server.bodyMemory.reserve(int64(n)) {
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -153,8 +153,8 @@
 	return len(s.conns)
 }
 
-// DisableKeepAlives makes the server close each connection after its pending
-// requests have been responded to.
+// DisableKeepAlives makes the server close each connection after the next response that no
+// other pending request follows.
 func (s *Server) DisableKeepAlives() {
 	s.keepAlivesDisabled.Store(true)
 }
@@ -168,6 +168,22 @@
 	s.closeIdle()
 }
 
+// EndBusy makes up to n connections accept no further request although others are pending, since
+// their callers may send requests without a pause. The last response of such a connection
+// announces the close, and requests that arrive behind the accepted ones are discarded.
+func (s *Server) EndBusy(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if n <= 0 {
+			return
+		}
+		if c.endIfBusy() {
+			n--
+		}
+	}
+}
+
 // closeIdle closes the idle connections; s.mu must be held.
 func (s *Server) closeIdle() {
 	for c := range s.conns {
--- a/io/front/server_test.go
+++ b/io/front/server_test.go
@@ -246,3 +246,180 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 }
+
+// pipeliner sends requests on one connection so that several are always pending, until a
+// response announces the close or the connection ends.
+type pipeliner struct {
+	conn     net.Conn
+	sent     atomic.Int64
+	answered int
+	// isTold is set once a response has announced the close.
+	isTold atomic.Bool
+}
+
+// pipelineInterval is the time between two requests of a pipeliner.
+const pipelineInterval = 10 * time.Millisecond
+
+func startPipeliner(t *testing.T, address string) (p *pipeliner, ended chan struct{}) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	p, ended = &pipeliner{conn: c}, make(chan struct{})
+	go func() {
+		for !p.isTold.Load() {
+			if _, err := fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", p.sent.Add(1)); err != nil {
+				return
+			}
+			time.Sleep(pipelineInterval)
+		}
+	}()
+	go func() {
+		defer close(ended)
+		r := bufio.NewReader(c)
+		for {
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			p.answered++
+			p.isTold.Store(resp.Close)
+		}
+	}()
+	return p, ended
+}
+
+// TestPipeliningCallerIsToldThatItsConnectionEnds guards against a connection that is closed
+// under requests in progress, or never, because its caller always has another request pending.
+func TestPipeliningCallerIsToldThatItsConnectionEnds(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(s *Server)
+	}{
+		{"planned stop", func(s *Server) {
+			s.DisableKeepAlives()
+			s.EndBusy(1)
+		}},
+		{"idle connections are closed", func(s *Server) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for c := range s.conns {
+				c.mu.Lock()
+				c.isEnding = true
+				c.mu.Unlock()
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := &slowHandler{duration: 5 * pipelineInterval}
+			s, address := startServer(t, Config{Handler: h})
+			p, ended := startPipeliner(t, address)
+			time.Sleep(20 * pipelineInterval)
+			c.end(s)
+			select {
+			case <-ended:
+			case <-time.After(2 * time.Second):
+				t.Fatal("the connection does not end")
+			}
+			require.True(t, p.isTold.Load(), "the connection ended without a response that announces it")
+			require.EqualValues(t, h.begun.Load(), p.answered, "requests were begun and not answered")
+			require.Greater(t, p.answered, 10)
+			require.Eventually(t, func() bool { return s.Connections() == 0 && s.InFlight() == 0 }, 2*time.Second, time.Millisecond)
+		})
+	}
+}
+
+// slowHandler responds after a while.
+type slowHandler struct {
+	echoHandler
+	duration time.Duration
+	begun    atomic.Int64
+}
+
+func (h *slowHandler) Handle(ctx context.Context, r *Request) *Response {
+	h.begun.Add(1)
+	time.Sleep(h.duration)
+	return h.echoHandler.Handle(ctx, r)
+}
+
+// TestUploadBehindTheLastResponseIsNotRead guards against a stop that waits for an upload that
+// its caller sent behind the last request of the connection.
+func TestUploadBehindTheLastResponseIsNotRead(t *testing.T) {
+	blocked := make(chan struct{})
+	s, address := startServer(t, Config{Handler: echoHandler{blocked: blocked}, MaxBodyMemoryBytes: 1 << 20})
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\nx")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.bodyMemory.heldBytes.Load() > 0 }, time.Second, time.Millisecond)
+	s.DisableKeepAlives()
+	s.EndBusy(1)
+	close(blocked)
+	r := bufio.NewReader(c)
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.True(t, resp.Close)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	for range 40 {
+		if _, err := io.WriteString(c, strings.Repeat("x", 1000)); err != nil {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Zero(t, s.Connections())
+	require.Zero(t, s.bodyMemory.heldBytes.Load())
+}
+
+// TestConnectionIsNotEndedUnderAResponseInProgress guards against a request that is read and
+// dropped because the response before it could not announce the close any more.
+func TestConnectionIsNotEndedUnderAResponseInProgress(t *testing.T) {
+	stream := &gatedStream{open: make(chan struct{})}
+	var isFirst atomic.Bool
+	isFirst.Store(true)
+	s, address := startServer(t, Config{Handler: echoHandler{newStream: func() BodyStream {
+		if isFirst.Swap(false) {
+			return stream
+		}
+		return &gatedStream{open: closedChannel()}
+	}}})
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	r := bufio.NewReader(c)
+	first, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	s.DisableKeepAlives()
+	s.EndBusy(1)
+	close(stream.open)
+	_, err = io.Copy(io.Discard, first.Body)
+	require.NoError(t, err)
+	second, err := exchangeRequest(c, r)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, second.StatusCode)
+	require.True(t, second.Close)
+}
+
+// gatedStream is an empty stream that ends once open is closed.
+type gatedStream struct {
+	open chan struct{}
+}
+
+func (r *gatedStream) Read([]byte) (int, error) {
+	<-r.open
+	return 0, io.EOF
+}
+
+func (r *gatedStream) Abort() {}
+
+func (r *gatedStream) Close() error { return nil }
+
+func closedChannel() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -6,6 +6,7 @@
 
 	"magnolialedge/core/drain"
 	"magnolialedge/io/event"
+	"magnolialedge/io/front"
 	"magnolialedge/io/pause"
 )
 
@@ -15,7 +16,9 @@
 	// have expired.
 	idleCloseDelay = defaultResolveTTL + 300*time.Millisecond
 	// minDrainTime is the shortest time for which a stopping entry keeps serving
-	// callers that do not know yet that it is leaving.
+	// callers that do not know yet that it is leaving. Connections with pending requests
+	// are ended in equal parts until then, so that their callers do not all connect to other
+	// entries at once.
 	minDrainTime = 3500 * time.Millisecond
 	// stopMargin is the time reserved between the end of draining and the forced
 	// end of the process.
@@ -47,8 +50,7 @@
 	for time.Now().Before(deadline) {
 		elapsed := time.Since(start)
 		if elapsed >= idleCloseDelay {
-			n.callerServer.CloseIdle()
-			n.handedServer.CloseIdle()
+			n.endConnections(minDrainTime - elapsed)
 		}
 		if elapsed >= minDrainTime {
 			_ = n.listeners[0].Close()
@@ -64,6 +66,16 @@
 	}
 }
 
+// endConnections closes the idle connections, and ends as many of the others as are due now if
+// all are to be ended within the given time.
+func (n *Node) endConnections(within time.Duration) {
+	polls := max(1, int(within/stopPollInterval))
+	for _, s := range []*front.Server{n.callerServer, n.handedServer} {
+		s.CloseIdle()
+		s.EndBusy((s.Connections() + polls - 1) / polls)
+	}
+}
+
 // inFlight returns the number of requests in progress, from callers and other entries.
 func (n *Node) inFlight() int64 {
 	return n.callerServer.InFlight() + n.handedServer.InFlight()
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -1,12 +1,16 @@
 package node_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"path"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -205,3 +209,72 @@
 		require.Equal(t, http.StatusOK, q.response.status, "sent %s after the signal", q.sentAt.Sub(s.stoppedAt))
 	}
 }
+
+// TestPlannedStopTellsPipeliningCallersToLeave guards against a stop that cuts the reads of a
+// caller that sends the next one before it has the response to the last, and that no response has
+// told to leave.
+func TestPlannedStopTellsPipeliningCallersToLeave(t *testing.T) {
+	const callers, interval = 6, 100 * time.Millisecond
+	s := newStopCluster(t)
+	s.stoppedAt = time.Now().Add(500 * time.Millisecond)
+	type result struct {
+		sent, answered []string
+		toldAt         time.Time
+	}
+	results := make(chan result, callers)
+	for i := range callers {
+		c, err := net.Dial("tcp", s.entry.settings.CallerAddress)
+		require.NoError(t, err)
+		defer c.Close()
+		var told atomic.Bool
+		sent := make(chan []string, 1)
+		go func() {
+			var ids []string
+			for n := 0; !told.Load() && time.Since(s.stoppedAt) < 6*time.Second; n++ {
+				id := fmt.Sprintf("pipelined-%d-%d", i, n)
+				_, err := fmt.Fprintf(c, "GET /slowreads/240ms HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\n\r\n", host, id)
+				if err != nil {
+					break
+				}
+				ids = append(ids, id)
+				time.Sleep(interval)
+			}
+			sent <- ids
+		}()
+		go func() {
+			var out result
+			r := bufio.NewReader(c)
+			for {
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					break
+				}
+				_, err = io.Copy(io.Discard, resp.Body)
+				if err != nil {
+					break
+				}
+				out.answered = append(out.answered, resp.Header.Get("X-Request-Id"))
+				if resp.Close {
+					out.toldAt = time.Now()
+					told.Store(true)
+				}
+			}
+			told.Store(true)
+			out.sent = <-sent
+			results <- out
+		}()
+	}
+	time.Sleep(time.Until(s.stoppedAt))
+	s.entry.stop()
+	<-s.entry.stopped
+	require.Less(t, time.Since(s.stoppedAt), 5500*time.Millisecond, "the stop waits for callers that do not know of it")
+	for range callers {
+		out := <-results
+		require.False(t, out.toldAt.IsZero(), "no response announced the close")
+		require.Greater(t, out.toldAt.Sub(s.stoppedAt), 2*time.Second, "told before resolve responses without the entry are in use")
+		for _, id := range out.sent[len(out.answered):] {
+			require.Zero(t, s.runCount(id), "%s was begun and not answered", id)
+		}
+		require.Equal(t, out.sent[:len(out.answered)], out.answered)
+	}
+}
