Refuse uploads that a stopping entry cannot serve by their header

What callers saw: an entry that stops read whole bodies, and asked for them with 100 Continue, although it knew from the header that the request could outlast it.

Cause: a handler saw a request only once its body was complete.

Change: front.Handler has RejectEarly, which sees the header of a request with a body. The forwarder uses it for requests that a stop does not permit; those that other entries hand over are declined by Handle as before, which states whether another entry may serve them.

Result: TestUploadThatAStoppingEntryCannotServeIsRefusedByItsHeader fails on (100 instead of 503; no response within 500 ms) and passes.

--- a/io/front/read.go
+++ b/io/front/read.go
@@ -58,6 +58,11 @@
 	if c.isOverLimit {
 		return req, c.server.handler.Reject(magnolialedge.KindOverloaded, "the connection limit is exceeded"), nil
 	}
+	if req.HasBody {
+		if rejection := c.server.handler.RejectEarly(req); rejection != nil {
+			return req, rejection, nil
+		}
+	}
 	body, rejection, err := c.readBody(httpReq, limits)
 	if err != nil || rejection != nil {
 		return req, rejection, err
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -59,6 +59,9 @@
 type Handler interface {
 	// IsIdempotent reports whether a request may run more than once.
 	IsIdempotent(r *Request) bool
+	// RejectEarly returns the response that rejects a request by its header, before its
+	// body is read, or nil.
+	RejectEarly(r *Request) *Response
 	// Handle returns the response to a request. ctx is canceled when the caller
 	// disconnects.
 	Handle(ctx context.Context, r *Request) *Response
--- a/io/front/server_test.go
+++ b/io/front/server_test.go
@@ -47,6 +47,8 @@
 	return &Response{Status: magnolialedge.ErrorResponseFor(kind).Status, Header: http.Header{}, Length: -1}
 }
 
+func (echoHandler) RejectEarly(*Request) *Response { return nil }
+
 func (echoHandler) Limits() magnolialedge.RequestLimits { return magnolialedge.RequestLimits{} }
 
 // startServer runs a Server on a loopback port and returns it with its address.
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -278,3 +278,77 @@
 		require.Equal(t, out.sent[:len(out.answered)], out.answered)
 	}
 }
+
+// TestUploadThatAStoppingEntryCannotServeIsRefusedByItsHeader guards against callers that send a
+// whole body, or are told to send it, to an entry that already knows that it refuses the request.
+func TestUploadThatAStoppingEntryCannotServeIsRefusedByItsHeader(t *testing.T) {
+	for _, header := range []string{"", "Expect: 100-continue\r\n"} {
+		t.Run(header, func(t *testing.T) {
+			s := newStopCluster(t)
+			s.stoppedAt = time.Now()
+			s.entry.stop()
+			time.Sleep(3200 * time.Millisecond)
+			c, err := net.Dial("tcp", s.entry.settings.CallerAddress)
+			require.NoError(t, err)
+			defer c.Close()
+			_, err = fmt.Fprintf(c, "POST /slow/5ms HTTP/1.1\r\nHost: %s\r\nX-Request-Id: upload\r\nX-Deadline-Ms: 5000\r\nContent-Length: 50000\r\n%s\r\n", host, header)
+			require.NoError(t, err)
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.NotEmpty(t, resp.Header.Get("Retry-After"))
+			require.True(t, resp.Close)
+			require.Zero(t, s.runCount("upload"))
+		})
+	}
+}
+
+// TestUploadThatEndsLateInAPlannedStopIsNotCut guards against an upload that is passed on because
+// its header came in time, although its last byte did not.
+func TestUploadThatEndsLateInAPlannedStopIsNotCut(t *testing.T) {
+	s := newStopCluster(t)
+	s.stoppedAt = time.Now().Add(100 * time.Millisecond)
+	const size = 40000
+	for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+		s.group.Go(func() {
+			time.Sleep(time.Until(s.stoppedAt.Add(at)))
+			q := stopRequest{id: s.nextID(), sentAt: time.Now()}
+			defer func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				q.endedAt = time.Now()
+				s.requests = append(s.requests, q)
+			}()
+			c, err := net.Dial("tcp", s.entry.settings.CallerAddress)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "POST /long/1500ms HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 10000\r\nContent-Length: %d\r\n\r\n", host, q.id, size)
+			for range 8 {
+				time.Sleep(250 * time.Millisecond)
+				_, _ = io.WriteString(c, strings.Repeat("x", size/8))
+			}
+			var resp *http.Response
+			if resp, q.err = http.ReadResponse(bufio.NewReader(c), nil); q.err == nil {
+				q.response.status = resp.StatusCode
+			}
+		})
+	}
+	time.Sleep(time.Until(s.stoppedAt))
+	s.entry.stop()
+	<-s.entry.stopped
+	ended := time.Now()
+	s.group.Wait()
+	require.False(t, strings.Contains(s.entry.logs.String(), "name=stopForced"), "requests were in progress at the end of the stop")
+	served := 0
+	for _, q := range s.requests {
+		if q.isServed(ended) {
+			served++
+			continue
+		}
+		require.Zero(t, s.runCount(q.id), "sent %s after the signal: status %d, error %v", q.sentAt.Sub(s.stoppedAt), q.response.status, q.err)
+	}
+	require.Positive(t, served)
+}
--- a/io/serve/drain.go
+++ b/io/serve/drain.go
@@ -47,6 +47,18 @@
 	return f.drain.Permits(now, drain.Work{Deadline: x.deadline, Expected: time.Duration(f.fleet.ServiceTimeNanos(x.pickReq))})
 }
 
+// RejectEarly implements front.Handler. It rejects a request that may not be sent because this
+// entry stops, so that its caller does not upload a body in vain.
+func (f *Forwarder) RejectEarly(r *front.Request) *front.Response {
+	x := f.newExchange(r)
+	if !x.hasRoute || x.maySend() {
+		return nil
+	}
+	resp := x.rejectLeaving(context.Background())
+	x.report(resp)
+	return resp
+}
+
 // rejectLeaving returns the response to a request that may not be sent because this entry
 // stops.
 func (x *exchange) rejectLeaving(ctx context.Context) *front.Response {
--- a/io/serve/handed.go
+++ b/io/serve/handed.go
@@ -61,6 +61,12 @@
 	return false
 }
 
+// RejectEarly implements front.Handler. The response to a request that was handed over says
+// whether another entry may serve it, which Handle decides.
+func (h *handedRequests) RejectEarly(*front.Request) *front.Response {
+	return nil
+}
+
 // Handle implements front.Handler.
 func (h *handedRequests) Handle(ctx context.Context, r *front.Request) *front.Response {
 	mark, err := parseHandover(r.Header)
