Begin no work that may outlast a stopping entry of the document mode

Cause: the same as for entries on the platform; the stop is separate code.

Change: the plan of a request can be told that an attempt was not sent because the entry stops. It ends as "leaving", not run, or as "upstreamLost" if an earlier attempt may have run. The check comes after the lookup of an idempotency key, so that a resend still gets the response of a request that ran. The package is now called core/stop, since the project uses drain for upstreams.

--- a/core/call/plan.go
+++ b/core/call/plan.go
@@ -41,6 +41,9 @@
 	Quarantined bool
 	// NoUpstream reports that no upstream was available for the attempt.
 	NoUpstream bool
+	// Leaving reports that the attempt was not sent, because this entry stops and the
+	// request may last longer.
+	Leaving bool
 	// BodyConsumed reports that a non-replayable body has been read.
 	BodyConsumed bool
 }
@@ -203,6 +206,9 @@
 	if !now.Before(p.cfg.Deadline) {
 		return p.giveUp(magnolialedge.KindDeadlineExceeded)
 	}
+	if r.Leaving {
+		return p.giveUpLeaving()
+	}
 	if r.NoUpstream {
 		return p.giveUp(cmp.Or(p.lastKind, magnolialedge.KindOverloaded))
 	}
@@ -247,6 +253,14 @@
 	return Action{Step: StepSend}
 }
 
+// giveUpLeaving ends a request that may not be sent again because this entry stops.
+func (p *Plan) giveUpLeaving() Action {
+	if p.mayHaveRun {
+		return p.giveUp(magnolialedge.KindUpstreamLost)
+	}
+	return p.giveUp(magnolialedge.KindLeaving)
+}
+
 // giveUp ends the request with an error of kind. Its outcome is unknown once an
 // attempt may have been executed.
 func (p *Plan) giveUp(kind magnolialedge.ErrorKind) Action {
--- a/core/call/plan_test.go
+++ b/core/call/plan_test.go
@@ -34,6 +34,19 @@
 	return true
 }
 
+// TestStoppingEntryRefusesOnlyWhatDidNotRun guards against a request that is said to be refused
+// by a stopping entry although an attempt may have run.
+func TestStoppingEntryRefusesOnlyWhatDidNotRun(t *testing.T) {
+	leaving := Result{Outcome: magnolialedge.OutcomeNotRun, Leaving: true}
+	p := NewPlan(PlanConfig{Class: Idempotent, Deadline: planStart.Add(time.Second), BodyReplayable: true, Budgets: &unlimitedBudgets{}})
+	p.Begin(planStart)
+	require.Equal(t, Action{Step: StepGiveUp, Kind: magnolialedge.KindLeaving, Outcome: magnolialedge.OutcomeNotRun}, p.AttemptEnded(planStart, leaving))
+	p = NewPlan(PlanConfig{Class: Idempotent, Deadline: planStart.Add(time.Second), BodyReplayable: true, Budgets: &unlimitedBudgets{}})
+	p.Begin(planStart)
+	require.Equal(t, StepSend, p.AttemptEnded(planStart, Result{Outcome: magnolialedge.OutcomeUnknown, UpstreamLost: true}).Step)
+	require.Equal(t, Action{Step: StepGiveUp, Kind: magnolialedge.KindUpstreamLost, Outcome: magnolialedge.OutcomeUnknown}, p.AttemptEnded(planStart, leaving))
+}
+
 // TestPlanInvariantsUnderRandomEvents checks a Plan under random sequences of
 // results, hedges, stalls and deadlines: a non-idempotent request is not sent
 // again once it may have run, notRun is reported only for requests that did not
--- a/core/drain/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package drain decides which work an entry may still begin after it was told to stop.
-package drain
--- a/core/pick/unservable.go
+++ b/core/pick/unservable.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"magnolialedge"
-	"magnolialedge/core/drain"
+	"magnolialedge/core/stop"
 )
 
 // WakeUnservable wakes the waiters that no upstream may serve any longer, so that they are
@@ -23,9 +23,9 @@
 
 // WakeUnpermitted wakes the waiters that may no longer be sent before this entry stops, so that
 // they are refused at once.
-func (q *Queue) WakeUnpermitted(now time.Time, s drain.Schedule) {
+func (q *Queue) WakeUnpermitted(now time.Time, s stop.Schedule) {
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool {
-		if s.Permits(now, drain.Work{Deadline: w.Request.Deadline}) {
+		if s.Permits(now, stop.Work{Deadline: w.Request.Deadline}) {
 			return false
 		}
 		w.Wake(WakeForCapacity)
--- a/core/drain/schedule.go
+++ b/core/stop/schedule.go
@@ -1,4 +1,4 @@
-package drain
+package stop
 
 import "time"
 
--- a/io/call/attempt.go
+++ b/io/call/attempt.go
@@ -53,9 +53,14 @@
 
 func (a *attempt) run(ctx context.Context) {
 	dest, ok := a.exchange.svc.Destination(a.address)
-	if !ok {
+	switch {
+	case !a.exchange.maySend():
+		// The upstream is not to blame; a canceled attempt does not count against it.
+		a.cancel()
+		a.result = call.Result{Outcome: magnolialedge.OutcomeNotRun, Leaving: true}
+	case !ok:
 		a.result = call.Result{Outcome: magnolialedge.OutcomeNotRun}
-	} else {
+	default:
 		a.roundTrip(ctx, dest)
 	}
 	a.release(ctx)
--- a/io/call/exchange.go
+++ b/io/call/exchange.go
@@ -9,6 +9,7 @@
 
 	"magnolialedge"
 	"magnolialedge/core/call"
+	"magnolialedge/core/stop"
 	"magnolialedge/io/event"
 	"magnolialedge/io/proc"
 )
@@ -75,6 +76,10 @@
 	for {
 		switch action.Step {
 		case call.StepSend:
+			if !x.maySend() {
+				action = x.plan.AttemptEnded(time.Now(), call.Result{Outcome: magnolialedge.OutcomeNotRun, Leaving: true})
+				continue
+			}
 			if !x.sendAttempt() {
 				action = x.plan.AttemptEnded(time.Now(), call.Result{Outcome: magnolialedge.OutcomeNotRun, NoUpstream: true})
 				continue
@@ -138,6 +143,12 @@
 	x.fallback = a
 }
 
+// maySend reports whether an attempt may be sent now, as far as a stop of this entry permits it.
+// The schedule has no notice, so that the expected time does not matter.
+func (x *exchange) maySend() bool {
+	return x.server.schedule().Permits(time.Now(), stop.Work{Deadline: x.deadline})
+}
+
 // sendAttempt starts an attempt. It waits for a free slot if there is none, and
 // returns false if no upstream can be acquired before the deadline.
 func (x *exchange) sendAttempt() bool {
@@ -160,6 +171,10 @@
 	if action.Step != call.StepSend {
 		return action
 	}
+	if !x.maySend() {
+		x.plan.CancelHedge()
+		return call.Action{Step: call.StepWait}
+	}
 	pick, ok := x.svc.TryAcquire(magnolialedge.PickRequest{Exclude: x.tried, IdleOnly: true})
 	if !ok {
 		x.plan.CancelHedge()
@@ -201,6 +216,8 @@
 		return "the deadline passed without an answer"
 	case magnolialedge.KindUpstreamLost:
 		return "the connection to the upstream broke before its answer"
+	case magnolialedge.KindLeaving:
+		return "this entry is stopping and might end before the request"
 	case magnolialedge.KindQuarantined:
 		return "the request lost two upstreams"
 	}
--- a/io/call/resolve.go
+++ b/io/call/resolve.go
@@ -55,7 +55,7 @@
 			out.Addresses = append(out.Addresses, in.CallerAddress)
 		case s.isBusy():
 			busy = append(busy, in.CallerAddress)
-		case !s.leaving.Load():
+		case !s.isLeaving():
 			out.Addresses = append(out.Addresses, in.CallerAddress)
 		}
 	}
@@ -69,7 +69,7 @@
 
 func (s *Server) resolveReason(list []magnolialedge.Instance) string {
 	switch {
-	case s.leaving.Load():
+	case s.isLeaving():
 		return "this entry is leaving"
 	case s.isBusy():
 		return "this entry has too many requests in flight"
--- a/io/call/server.go
+++ b/io/call/server.go
@@ -14,6 +14,7 @@
 
 	"magnolialedge"
 	"magnolialedge/core/call"
+	"magnolialedge/core/stop"
 	"magnolialedge/io/conn"
 	"magnolialedge/io/event"
 	"magnolialedge/io/proc"
@@ -53,7 +54,8 @@
 type Server struct {
 	cfg      ServerConfig
 	inFlight atomic.Int64
-	leaving  atomic.Bool
+	// stopping is the end of this entry, or nil if it was not told to stop.
+	stopping atomic.Pointer[stop.Schedule]
 }
 
 // NewServer returns a Server.
@@ -85,9 +87,21 @@
 
 // SetLeaving makes the server leave itself out of resolve responses, unless it is busy
 // or no other entry is listed, and close the callers' connections after their next
-// response.
-func (s *Server) SetLeaving() {
-	s.leaving.Store(true)
+// response. From then on, it begins only work that d permits.
+func (s *Server) SetLeaving(d stop.Schedule) {
+	s.stopping.Store(&d)
+}
+
+func (s *Server) isLeaving() bool {
+	return s.stopping.Load() != nil
+}
+
+// schedule returns the end of this entry.
+func (s *Server) schedule() stop.Schedule {
+	if d := s.stopping.Load(); d != nil {
+		return *d
+	}
+	return stop.Schedule{}
 }
 
 // busyRatio is the ratio of requests in flight to MaxInFlight above which resolve
@@ -106,7 +120,7 @@
 		s.inFlight.Add(-1)
 		s.cfg.Metrics.InFlight.Dec()
 	}()
-	if s.leaving.Load() {
+	if s.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
 	id := requestID(r.Header)
--- a/io/entry/helpers_test.go
+++ b/io/entry/helpers_test.go
@@ -46,6 +46,12 @@
 
 // startSystem starts n entries and one upstream for each handler.
 func startSystem(t *testing.T, n int, keyLookup magnolialedge.KeyLookup, handlers ...http.Handler) *stand.System {
+	t.Helper()
+	return startSystemWith(t, stand.SystemConfig{EntriesPerRegion: n}, keyLookup, handlers...)
+}
+
+// startSystemWith starts a system with a single service whose upstreams have the handlers.
+func startSystemWith(t *testing.T, cfg stand.SystemConfig, keyLookup magnolialedge.KeyLookup, handlers ...http.Handler) *stand.System {
 	t.Helper()
 	var addresses []string
 	for _, h := range handlers {
@@ -53,12 +59,9 @@
 		t.Cleanup(u.Close)
 		addresses = append(addresses, u.Listener.Addr().String())
 	}
-	s, err := stand.StartSystem(stand.SystemConfig{
-		Document:         singleServiceDocument(keyLookup, addresses...),
-		EntriesPerRegion: n,
-		KeepTargets:      true,
-		Seed:             1,
-	})
+	cfg.Document = singleServiceDocument(keyLookup, addresses...)
+	cfg.KeepTargets, cfg.Seed = true, 1
+	s, err := stand.StartSystem(cfg)
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	return s
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -15,6 +15,7 @@
 
 	"magnolialedge"
 	core "magnolialedge/core/proc"
+	"magnolialedge/core/stop"
 	"magnolialedge/io/event"
 	"magnolialedge/io/pause"
 	"magnolialedge/io/peer/peerpb"
@@ -30,12 +31,19 @@
 	return f.value.Load()
 }
 
+// responseMargin is the time reserved for writing the last responses before the stop timeout
+// expires.
+const responseMargin = 100 * time.Millisecond
+
 // stop removes the entry from resolve responses, serves until callers use other entries and
-// requests in flight have ended, and hands over the key table. It returns an error if
-// requests were still in flight when the stop timeout expired.
+// requests in flight have ended, and hands over the key table. Work that may last longer is
+// refused meanwhile. It returns an error if requests were still in flight when the stop timeout
+// expired.
 func (e *Entry) stop(runCtx context.Context) error {
 	e.leaving.value.Store(true)
-	e.server.SetLeaving()
+	e.server.SetLeaving(stop.NewSchedule(stop.Config{
+		Work: e.settings.LeaveDelay + e.settings.StopTimeout - responseMargin,
+	}, time.Now()))
 	e.log.Log(event.Draining, "inFlight", e.server.InFlight())
 	leaving := e.self
 	leaving.Leaving = true
--- a/io/entry/stop_test.go
+++ b/io/entry/stop_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -132,3 +134,52 @@
 	}
 	require.EqualValues(t, 1, drainingRequests.Load())
 }
+
+// TestLateRequestOfAStopIsNotCut guards against requests that a stopping entry sends to an
+// upstream although they may last longer than the stop.
+func TestLateRequestOfAStopIsNotCut(t *testing.T) {
+	const work, timeout = 1500 * time.Millisecond, 2 * time.Second
+	var mu sync.Mutex
+	begun := map[string]bool{}
+	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		begun[r.Header.Get("Request-Id")] = true
+		mu.Unlock()
+		time.Sleep(work)
+		_, _ = io.WriteString(w, "done")
+	})
+	cfg := stand.SystemConfig{EntriesPerRegion: 2, LeaveDelay: time.Second, StopTimeout: time.Second}
+	s := startSystemWith(t, cfg, magnolialedge.KeyLookupStore, slow, slow, slow, slow, slow, slow, slow, slow)
+	var requests sync.WaitGroup
+	var served, refused atomic.Int64
+	signal := time.Now().Add(200 * time.Millisecond)
+	for at := -100 * time.Millisecond; at < time.Second; at += 100 * time.Millisecond {
+		requests.Go(func() {
+			time.Sleep(time.Until(signal.Add(at)))
+			id := newUUID()
+			req, err := http.NewRequest("GET", serviceURL(s, 0, "/a"), nil)
+			require.NoError(t, err)
+			req.Header.Set("Request-Id", id)
+			req.Header.Set("Request-Timeout-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
+			resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+			if err == nil {
+				defer resp.Body.Close()
+			}
+			if err == nil && resp.StatusCode == http.StatusOK {
+				served.Add(1)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			require.False(t, begun[id], "sent %s after the signal: %v", at, err)
+			require.NoError(t, err)
+			require.Equal(t, "leaving", resp.Header.Get("Request-Kind"))
+			refused.Add(1)
+		})
+	}
+	time.Sleep(time.Until(signal))
+	require.NoError(t, s.Entries[0].Stop(), "requests were in flight when the stop timeout expired")
+	requests.Wait()
+	require.Positive(t, served.Load())
+	require.Positive(t, refused.Load())
+}
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"magnolialedge/core/drain"
+	"magnolialedge/core/stop"
 	"magnolialedge/io/event"
 	"magnolialedge/io/front"
 	"magnolialedge/io/pause"
@@ -37,7 +37,7 @@
 	start := time.Now()
 	n.isLeaving.Store(true)
 	deadline := start.Add(n.settings.StopTimeout - stopMargin)
-	n.forwarder.Drain(drain.NewSchedule(drain.Config{
+	n.forwarder.BeginStop(stop.NewSchedule(stop.Config{
 		Notice: idleCloseDelay,
 		Work:   deadline.Sub(start) - responseMargin,
 	}, start))
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -8,11 +8,11 @@
 
 	"magnolialedge"
 	"magnolialedge/core/acct"
-	"magnolialedge/core/drain"
 	"magnolialedge/core/pick"
 	"magnolialedge/core/proc"
 	"magnolialedge/core/reach"
 	"magnolialedge/core/route"
+	"magnolialedge/core/stop"
 	"magnolialedge/io/event"
 	"magnolialedge/io/front"
 	"magnolialedge/io/link"
@@ -102,8 +102,8 @@
 	// handedCount is the number of requests in progress that other entries handed over.
 	handedCount int
 	closed      bool
-	// drain is the end of this entry if it was told to stop.
-	drain drain.Schedule
+	// stopping is the end of this entry if it was told to stop.
+	stopping stop.Schedule
 	// crashChecks holds the fingerprints of the requests that were lost at an upstream
 	// whose check is in progress, by its ID.
 	crashChecks map[string][]uint64
--- a/io/serve/drain.go
+++ b/io/serve/stop.go
@@ -7,19 +7,19 @@
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
-	"magnolialedge/core/drain"
+	"magnolialedge/core/stop"
 	"magnolialedge/io/front"
 )
 
 // errLeaving means that the request was not sent because it may last longer than this entry.
 var errLeaving = errors.New("this entry is stopping")
 
-// Drain makes the forwarder begin no more work than s permits. Requests that it does not permit
+// BeginStop makes the forwarder begin no more work than s permits. Requests that it does not permit
 // are refused, those that wait in a queue when the notice ends.
-func (f *Forwarder) Drain(s drain.Schedule) {
+func (f *Forwarder) BeginStop(s stop.Schedule) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.drain = s
+	f.stopping = s
 	time.AfterFunc(time.Until(s.NoticeEnd()), f.wakeUnpermitted)
 }
 
@@ -29,7 +29,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, q := range f.queues {
-		q.WakeUnpermitted(now, f.drain)
+		q.WakeUnpermitted(now, f.stopping)
 	}
 }
 
@@ -44,7 +44,7 @@
 // maySendLocked is maySend; the caller holds f.mu.
 func (x *exchange) maySendLocked(now time.Time) bool {
 	f := x.f
-	return f.drain.Permits(now, drain.Work{Deadline: x.deadline, Expected: time.Duration(f.fleet.ServiceTimeNanos(x.pickReq))})
+	return f.stopping.Permits(now, stop.Work{Deadline: x.deadline, Expected: time.Duration(f.fleet.ServiceTimeNanos(x.pickReq))})
 }
 
 // RejectEarly implements front.Handler. It rejects a request that may not be sent because this
--- a/io/stand/system.go
+++ b/io/stand/system.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"cmp"
 	"context"
 	"embed"
 	"encoding/json"
@@ -51,8 +52,10 @@
 	CrashDuration time.Duration
 	Naive         bool
 	LeaveDelay    time.Duration
-	Log           io.Writer
-	Seed          uint64
+	// StopTimeout is that of the entries; 0 means a minute.
+	StopTimeout time.Duration
+	Log         io.Writer
+	Seed        uint64
 	// Ports are the ports of the first entry for callers, peers and operators; 0
 	// means a free port.
 	Ports [3]int
@@ -204,7 +207,7 @@
 		Secret:              Secret,
 		Token:               Token,
 		Gateways:            map[string]string{},
-		StopTimeout:         time.Minute,
+		StopTimeout:         cmp.Or(s.cfg.StopTimeout, time.Minute),
 		LeaveDelay:          s.cfg.LeaveDelay,
 		KeyCapacity:         core.DefaultKeyCapacity,
 		MaxInFlight:         4000,
