Stop entry processes under callers of all kinds in the soak

Change: RunStops stops entry processes, one at a time and two that overlap, with a second SIGTERM and a SIGHUP meanwhile, and no other fault. Callers use fresh and kept connections, pipeline, and upload slowly; upstreams work for 5 ms to 2.2 s on routes with a timeout of 2.5 s; half of the callers keep resolve responses three times as long. Nobody is excused but for what the stated target excuses. Most requests must be served, and no stop may need a kill.

--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -23,6 +23,8 @@
 	Duration          time.Duration `name:"length" help:"Time during which faults are injected." default:"20s"`
 	Seed              uint64        `help:"First seed." default:"1"`
 	SeedCount         int           `name:"seeds" help:"Number of seeds to run, one after the other." default:"1"`
+	StopRounds        int           `name:"stop-rounds" help:"If set, entries are only stopped and started again, so many times, under load from callers of all kinds."`
+	StopCallers       int           `name:"stop-callers" help:"Number of callers of each kind, with --stop-rounds." default:"20"`
 	Dir               string        `name:"folder" help:"Directory for the settings, logs and faults of each seed; a new one if empty."`
 }
 
@@ -60,10 +62,16 @@
 		return 0, err
 	}
 	defer faultLog.Close()
-	r, err := soak.Run(ctx, soak.Config{
+	cfg := soak.Config{
 		Binary: c.Binary, PreviousBinary: c.PreviousBinary, InitialRelease: soak.Release(c.InitialRelease), Dir: dir, Entries: c.Entries, Upstreams: c.Upstreams,
 		RequestsPerSecond: c.RequestsPerSecond, Duration: c.Duration, Seed: seed, FaultLog: faultLog,
-	})
+	}
+	var r soak.Result
+	if c.StopRounds > 0 {
+		r, err = soak.RunStops(ctx, soak.StopsConfig{Config: cfg, Rounds: c.StopRounds, Callers: c.StopCallers})
+	} else {
+		r, err = soak.Run(ctx, cfg)
+	}
 	if err != nil {
 		return 0, err
 	}
