Do not choose a service when an upload's header is checked

Cause: RejectEarly looked the route up as for a request that is served, which advances the traffic split; each request with a body counted twice.

TestTrafficSplitFollowsWeights, now with bodies too, fails: 20 of 40 instead of 10.

Change: RejectEarly does nothing unless the entry stops, and then finds the route without its service.

Result: the test passes.

--- a/io/node/lifecycle_test.go
+++ b/io/node/lifecycle_test.go
@@ -41,12 +41,16 @@
 		resp, _ := tc.send("GET", "/split/1", "")
 		return resp.status == http.StatusOK
 	}, applyTimeout, 10*time.Millisecond)
-	before := len(other.Runs())
-	for range 40 {
-		resp, _ := tc.send("GET", "/split/1", "")
-		require.Equal(t, http.StatusOK, resp.status)
+	// A request with a body must not count twice in the weights, when its header and when its
+	// body has been read.
+	for _, r := range [][2]string{{"GET", ""}, {"POST", "body"}} {
+		before := len(other.Runs())
+		for range 40 {
+			resp, _ := tc.send(r[0], "/split/1", r[1])
+			require.Equal(t, http.StatusOK, resp.status)
+		}
+		require.InDelta(t, 10, len(other.Runs())-before, 1)
 	}
-	require.InDelta(t, 10, len(other.Runs())-before, 1)
 }
 
 func TestDrainingUpstreamGetsNoNewRequests(t *testing.T) {
--- a/io/serve/stop.go
+++ b/io/serve/stop.go
@@ -48,10 +48,15 @@
 }
 
 // RejectEarly implements front.Handler. It rejects a request that may not be sent because this
-// entry stops, so that its caller does not upload a body in vain.
+// entry stops, so that its caller does not upload a body in vain. It does not choose a service,
+// since the request would count twice in the weights of its route.
 func (f *Forwarder) RejectEarly(r *front.Request) *front.Response {
-	x := f.newExchange(r)
-	if !x.hasRoute || x.maySend() {
+	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Headers.RequestID)}
+	if !x.findRoute() {
+		return nil
+	}
+	x.setTimes(r.Arrived)
+	if x.maySend() {
 		return nil
 	}
 	resp := x.rejectLeaving(context.Background())
@@ -59,6 +64,23 @@
 	return resp
 }
 
+// findRoute sets the route of a request that arrives while this entry stops, without its service.
+// It reports whether there is one.
+func (x *exchange) findRoute() bool {
+	x.f.mu.Lock()
+	defer x.f.mu.Unlock()
+	if !x.f.isStopping() || x.f.routes == nil {
+		return false
+	}
+	x.match.Route, x.hasRoute = x.f.routes.Route(x.req.Host, x.req.Path)
+	return x.hasRoute
+}
+
+// isStopping reports whether this entry was told to stop. The caller holds f.mu.
+func (f *Forwarder) isStopping() bool {
+	return !f.stopping.NoticeEnd().IsZero()
+}
+
 // rejectLeaving returns the response to a request that may not be sent because this entry
 // stops.
 func (x *exchange) rejectLeaving(ctx context.Context) *front.Response {
