Limit the memory that all requests together hold of responses

What callers saw: three of twenty upstreams responded with 500 and a body without end.

Cause: the body of a server error was held whole, up to 16 MB a request, since a retry might follow. No limit held for all of them together.

Change: io/limit.Budget limits what an entry holds on behalf of requests; each holder (request bodies, handed bodies, responses) has a part of it. A response is buffered up to 256 KB and as far as its holder has room, then streamed; server errors too, unless another attempt replaces them. Bodies that are not passed on are skipped. A request gives back what it holds when its response has been written or discarded. The heap has a limit of 0.7 of the memory. Dump, gauge and the new event memoryShort show the holders.

TestEndlessBytesEndTheAttempt expected an error for an endless server error, which is now streamed; TestEndlessServerErrorIsNotHeld replaces that case: the attempt ends before its deadline, holds no more than its memory permits, and its stream can be broken off.

--- a/cmd/magnolialedge/serve.go
+++ b/cmd/magnolialedge/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -28,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	setMemoryLimit(settings.MemoryMB)
 	n, err := node.New(node.Config{
 		Settings:    settings,
 		MetricsPort: c.MetricsPort,
@@ -50,6 +52,18 @@
 	return n.Run(ctx, reload)
 }
 
+// memoryLimitRatio is the fraction of the memory of the process above which garbage is collected
+// more often. The rest is for what the runtime does not count.
+const memoryLimitRatio = 0.7
+
+// setMemoryLimit makes the garbage collector keep the heap below its part of the memory of the
+// process; 0 sets no limit.
+func setMemoryLimit(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(float64(megabytes) * (1 << 20) * memoryLimitRatio))
+	}
+}
+
 // upstreamDialer returns a dialer that uses the gateway, or nil if there is none.
 func (c *serveCommand) upstreamDialer() link.Dialer {
 	if c.UpstreamGateway == "" {
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -12,6 +12,7 @@
 	AnnounceFailed          = Event{1008, "announceFailed", Warning, "The entry could not create, renew or remove its registration in the store."}
 	LinesDropped            = Event{1009, "linesDropped", Warning, "Log lines were dropped to limit the log volume."}
 	AcceptFailed            = Event{1010, "acceptFailed", Warning, "A caller's connection could not be accepted."}
+	MemoryShort             = Event{1011, "memoryShort", Warning, "A holder of memory could not reserve more on behalf of requests; bodies were refused, or responses streamed earlier."}
 	VersionInForce          = Event{2001, "versionInForce", Info, "A configuration with a higher revision was applied."}
 	VersionRejected         = Event{2002, "versionRejected", Warning, "A configuration could not be decoded or is invalid, and was not applied."}
 	VersionAccepted         = Event{2003, "versionAccepted", Info, "A change was accepted here and pushed to the relays."}
@@ -88,7 +89,7 @@
 	return []Event{
 		Started, Ready, Draining, Stopped,
 		StopForced, SettingsReloaded, SettingsRejected, AnnounceFailed,
-		LinesDropped, AcceptFailed, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
+		LinesDropped, AcceptFailed, MemoryShort, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone, ManyChanges,
 		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored, SourceFollowed, PrimarySilent, PrimaryConfirmed, StoreProbed,
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -196,6 +196,7 @@
 	if resp == nil {
 		return false
 	}
+	defer resp.release()
 	isLast := x.isLast || c.closeAfterResponse()
 	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := writeResponse(c.netConn, x.req, resp, isLast); err != nil {
@@ -238,6 +239,7 @@
 func (x *exchange) discard() {
 	if resp := <-x.response; resp != nil {
 		resp.discard()
+		resp.release()
 	}
 }
 
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -187,16 +187,16 @@
 	reject := c.server.handler.Reject
 	switch {
 	case errors.Is(err, errBodyMemoryExceeded):
-		c.server.bodyMemory.release(r.heldBytes)
+		c.server.bodyMemory.Release(r.heldBytes)
 		return nil, reject(magnolialedge.KindOverloaded, err.Error()), nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.server.bodyMemory.release(r.heldBytes)
+		c.server.bodyMemory.Release(r.heldBytes)
 		return nil, reject(magnolialedge.KindRequestTimeout, "no data of the request body was received in time"), nil
 	case err != nil:
-		c.server.bodyMemory.release(r.heldBytes)
+		c.server.bodyMemory.Release(r.heldBytes)
 		return nil, nil, err
 	case int64(len(body)) > maxBytes:
-		c.server.bodyMemory.release(r.heldBytes)
+		c.server.bodyMemory.Release(r.heldBytes)
 		return nil, reject(magnolialedge.KindBodyTooLarge, "the request body exceeds the size limit"), nil
 	}
 	_ = c.netConn.SetReadDeadline(time.Time{})
@@ -222,7 +222,7 @@
 	}
 	_ = b.c.netConn.SetReadDeadline(time.Now().Add(bodyIdleTimeout))
 	n, err := b.r.Read(p)
-	if !b.c.server.bodyMemory.reserve(int64(n)) {
+	if !b.c.server.bodyMemory.Reserve(int64(n)) {
 		return n, errBodyMemoryExceeded
 	}
 	b.heldBytes += int64(n)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -13,6 +13,7 @@
 
 	"magnolialedge"
 	"magnolialedge/io/event"
+	"magnolialedge/io/limit"
 )
 
 // Request is a complete request from a caller.
@@ -45,6 +46,15 @@
 	// is set for responses to HEAD requests and for responses with a Stream of
 	// known length; a Stream of unknown length is sent in chunks.
 	Length int64
+	// Release is called once when the response has been written or discarded. It may be nil.
+	Release func()
+}
+
+// release calls Release.
+func (resp *Response) release() {
+	if resp.Release != nil {
+		resp.Release()
+	}
 }
 
 // BodyStream is the part of a response body that follows Response.Body. The
@@ -81,9 +91,9 @@
 	// means no limit. At the limit, a new connection causes idle ones to be closed,
 	// and its own requests are rejected.
 	MaxConns int
-	// MaxBodyMemoryBytes limits the total size of the request bodies held in
-	// memory; 0 means no limit.
-	MaxBodyMemoryBytes int64
+	// BodyMemory limits the total size of the request bodies held in memory. If it is nil,
+	// there is no limit.
+	BodyMemory *limit.Holder
 }
 
 // Server serves HTTP/1.1 connections from callers.
@@ -94,12 +104,16 @@
 	conns              map[*conn]struct{}
 	keepAlivesDisabled atomic.Bool
 	inFlight           atomic.Int64
-	bodyMemory         byteBudget
+	bodyMemory         *limit.Holder
 }
 
 // NewServer returns a Server for the given configuration.
 func NewServer(cfg Config) *Server {
-	return &Server{cfg: cfg, handler: cfg.Handler, conns: map[*conn]struct{}{}, bodyMemory: byteBudget{maxBytes: cfg.MaxBodyMemoryBytes}}
+	bodyMemory := cfg.BodyMemory
+	if bodyMemory == nil {
+		bodyMemory = limit.NewHolder(limit.HolderConfig{})
+	}
+	return &Server{cfg: cfg, handler: cfg.Handler, conns: map[*conn]struct{}{}, bodyMemory: bodyMemory}
 }
 
 // acceptRetryDelay is the delay before the next accept after a failure, for
@@ -197,7 +211,7 @@
 // releaseBody releases the memory reserved for a request's body; r may be nil.
 func (s *Server) releaseBody(r *Request) {
 	if r != nil {
-		s.bodyMemory.release(int64(len(r.Body)))
+		s.bodyMemory.Release(int64(len(r.Body)))
 	}
 }
 
--- a/io/limit/reader.go
+++ b/io/limit/reader.go
@@ -1,4 +1,5 @@
-// Package limit bounds the number of bytes that a message header may occupy.
+// Package limit bounds the number of bytes that a message header may occupy, and those that a
+// process holds on behalf of requests.
 package limit
 
 import "io"
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -21,8 +21,8 @@
 const (
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
-	// maxResponseBytes limits the size of a response body that is read whole.
-	maxResponseBytes = 16 << 20
+	// firstBodyBytes is the part of a response body that is buffered without a reservation.
+	firstBodyBytes = 4 << 10
 	// maxUnusedBodyBytes limits the body of a response that is not passed on. An
 	// upstream may send bytes without end, and many requests may wait for it.
 	maxUnusedBodyBytes = 64 << 10
@@ -146,7 +146,7 @@
 	if err != nil {
 		return Report{}, err
 	}
-	if _, err := c.readBody(resp, maxUnusedBodyBytes); err != nil {
+	if err := c.skipBody(resp); err != nil {
 		return Report{}, err
 	}
 	if resp.Header.Get(c.headers.RequestID) != "" {
@@ -174,6 +174,8 @@
 	HasBody bool
 	// TimeLeft is the time until the request's deadline.
 	TimeLeft time.Duration
+	// Memory is what the request may hold of its response. It may be nil.
+	Memory *limit.Share
 }
 
 // Response is an upstream's response.
@@ -212,9 +214,9 @@
 }
 
 // RoundTrip sends a request and reads its response. A long body is read up to
-// maxBufferedBodyBytes; the remainder is available as Stream and is not affected
-// by the end of ctx. A rejection, an invalid response and a server error are always
-// read completely. Responses to other requests are skipped.
+// maxBufferedBodyBytes, or as far as Request.Memory permits; the remainder is available as
+// Stream and is not affected by the end of ctx. The body of a rejection or of an invalid response
+// is skipped, and responses to other requests are, too.
 func (c *Conn) RoundTrip(ctx context.Context, req *Request) (*Response, Sent, error) {
 	defer c.closeOnCancel(ctx)()
 	c.deadline = time.Now().Add(req.TimeLeft)
@@ -279,11 +281,11 @@
 			return nil, err
 		}
 		if resp.Header.Get(c.headers.RequestID) == req.ID {
-			r, err := c.newResponseWithBody(resp)
+			r, err := c.newResponseWithBody(resp, req.Memory)
 			c.recordRefusal(req.ID, r)
 			return r, err
 		}
-		if _, err := c.readBody(resp, maxUnusedBodyBytes); err != nil {
+		if err := c.skipBody(resp); err != nil {
 			return nil, err
 		}
 		c.broken = true
@@ -305,23 +307,18 @@
 
 // newResponseWithBody reads the body of the request's own response. It streams a
 // long body only if the response can be passed on unchanged.
-func (c *Conn) newResponseWithBody(resp *http.Response) (*Response, error) {
+func (c *Conn) newResponseWithBody(resp *http.Response, memory *limit.Share) (*Response, error) {
 	r := c.newResponse(resp)
-	var err error
-	switch {
-	case r.NotRun || r.IsInvalid():
-		r.Body, err = c.readBody(resp, maxUnusedBodyBytes)
-		return r, err
-	case r.IsServerError():
-		r.Body, err = c.readBody(resp, maxResponseBytes)
-		return r, err
+	if r.NotRun || r.IsInvalid() {
+		return r, c.skipBody(resp)
 	}
-	r.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxBufferedBodyBytes))
+	body, isComplete, err := readStart(resp, memory)
 	if err != nil {
 		c.broken = true
 		return nil, err
 	}
-	if len(r.Body) == maxBufferedBodyBytes {
+	r.Body = body
+	if !isComplete {
 		r.Stream = newBodyStream(c, resp)
 		return r, nil
 	}
@@ -329,6 +326,35 @@
 	return r, nil
 }
 
+// readStart reads a body until it ends, up to maxBufferedBodyBytes, and as far as memory permits.
+// It reports whether the body is complete. The buffer grows only by what has been reserved.
+func readStart(resp *http.Response, memory *limit.Share) (body []byte, isComplete bool, err error) {
+	size := int64(firstBodyBytes)
+	if resp.ContentLength >= 0 {
+		// One byte more lets the end be read without a larger buffer.
+		size = min(size, resp.ContentLength+1)
+	}
+	body = make([]byte, 0, size)
+	for {
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		if len(body) < cap(body) {
+			continue
+		}
+		grown := min(2*cap(body), maxBufferedBodyBytes)
+		if grown == cap(body) || !memory.Reserve(int64(grown)) {
+			return body, false, nil
+		}
+		body = append(make([]byte, 0, grown), body...)
+	}
+}
+
 func (c *Conn) newResponse(resp *http.Response) *Response {
 	return &Response{
 		Status:   resp.StatusCode,
@@ -360,19 +386,19 @@
 	}
 }
 
-// readBody reads a body of at most maxBytes.
-func (c *Conn) readBody(resp *http.Response, maxBytes int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxBytes)+1))
+// skipBody discards a body of at most maxUnusedBodyBytes.
+func (c *Conn) skipBody(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnusedBodyBytes+1))
 	if err != nil {
 		c.broken = true
-		return nil, err
+		return err
 	}
-	if len(body) > maxBytes {
+	if n > maxUnusedBodyBytes {
 		c.broken = true
-		return nil, errResponseTooLarge
+		return errResponseTooLarge
 	}
 	c.responseEnded(resp)
-	return body, nil
+	return nil
 }
 
 // responseEnded records that a response was read to its end.
--- a/io/link/stream.go
+++ b/io/link/stream.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxBufferedBodyBytes is the part of a response body that is buffered before any
-// of it is passed on. A response that fails within this part is detected before
+// maxBufferedBodyBytes is the part of a response body that is buffered, if there is memory for
+// it, before any of it is passed on. A response that fails within this part is detected before
 // its caller has received any of it.
 const maxBufferedBodyBytes = 256 << 10
 
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -86,6 +86,8 @@
 	AgeMs    int64  `json:"ageMs"`
 	InFlight int64  `json:"inFlight"`
 	Leaving  bool   `json:"leaving"`
+	// HeldBytes holds the bytes that are held on behalf of requests, by holder.
+	HeldBytes map[string]int64 `json:"heldBytes"`
 	// Isolated is set while the entry reaches no upstream.
 	Isolated bool `json:"isolated"`
 	// Evacuated lists the evacuated availability zones.
@@ -112,6 +114,7 @@
 			Revision:      n.follower.Revision(),
 			AgeMs:         n.follower.Staleness(time.Now()).Milliseconds(),
 			InFlight:      n.inFlight(),
+			HeldBytes:     n.memory.heldBytes(),
 			Leaving:       n.isLeaving.Load(),
 			Isolated:      n.forwarder.IsIsolated(),
 			Evacuated:     n.evacuations.list(),
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -10,6 +10,7 @@
 // upstreams, so that entries that lag behind can be found by comparison.
 func (n *Node) registerGauges() {
 	n.credits.registerGauges(n.registry)
+	n.memory.registerGauges(n.registry)
 	gauges := []struct {
 		name, help string
 		value      func() float64
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -55,6 +55,7 @@
 	log       event.Logger
 	logWriter *event.AsyncWriter
 	registry  *prometheus.Registry
+	memory    memory
 
 	members      *members
 	quotas       *quotaSharer
@@ -93,12 +94,6 @@
 	// handedFDRatio is the same for the requests that other entries hand over, each of
 	// which needs a connection to that entry and one to an upstream.
 	handedFDRatio = 0.1
-	// bodyMemoryRatio is the fraction of memory that request bodies may use.
-	// While a body is being read, up to twice its size is in use.
-	bodyMemoryRatio = 0.2
-	// handedMemoryRatio is the fraction that the bodies of requests that other entries
-	// hand over may use.
-	handedMemoryRatio = 0.1
 	// crossZonePerKB and crossRegionPerKB are the wait that is considered as
 	// costly as sending one kilobyte to another zone or region.
 	// separateZonePerKB replaces crossZonePerKB in a zone that serves its own
@@ -121,7 +116,7 @@
 	if s.MaxPropagation <= 0 {
 		s.MaxPropagation = core.DefaultPropagation
 	}
-	n := &Node{cfg: cfg, settings: s, start: time.Now(), registry: prometheus.NewRegistry(), evacuations: newEvacuations()}
+	n := &Node{cfg: cfg, settings: s, start: time.Now(), registry: prometheus.NewRegistry(), evacuations: newEvacuations(), memory: newMemory(s.MemoryMB)}
 	n.logWriter = event.NewAsyncWriter(cfg.LogWriter)
 	n.log = event.NewLogger(n.logWriter, s.Name)
 	n.members = newMembers(n.self())
@@ -159,19 +154,21 @@
 		ReportLimit:   n.reportLimit,
 		ReportCold:    n.reportCold,
 		MayLackRoutes: n.mayLackRoutes,
-		Quotas:        n.credits,
-		Admission:     cfg.Admission,
+
+		ResponseMemory: n.memory.responses,
+		Quotas:         n.credits,
+		Admission:      cfg.Admission,
 	})
 	n.callerServer = front.NewServer(front.Config{
-		Handler:            n.forwarder,
-		Log:                n.log,
-		MaxConns:           int(float64(s.MaxFDs) * callerFDRatio),
-		MaxBodyMemoryBytes: int64(float64(s.MemoryMB) * (1 << 20) * bodyMemoryRatio),
+		Handler:    n.forwarder,
+		Log:        n.log,
+		MaxConns:   int(float64(s.MaxFDs) * callerFDRatio),
+		BodyMemory: n.memory.bodies,
 	})
 	n.handedServer = front.NewServer(front.Config{
-		Handler:            n.forwarder.HandedRequests(),
-		Log:                n.log,
-		MaxBodyMemoryBytes: int64(float64(s.MemoryMB) * (1 << 20) * handedMemoryRatio),
+		Handler:    n.forwarder.HandedRequests(),
+		Log:        n.log,
+		BodyMemory: n.memory.handed,
 	})
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "magnolialedge", Name: "store_calls_total", Help: "Calls to the platform's store.",
@@ -275,6 +272,7 @@
 	}()
 	go n.reportReady(workCtx)
 	go n.reportDroppedLines(workCtx)
+	go n.reportShortages(workCtx)
 	defer n.logWriter.Close()
 	for {
 		select {
--- a/io/serve/attempt.go
+++ b/io/serve/attempt.go
@@ -48,8 +48,12 @@
 	r := x.classify(resp, sent, err)
 	x.recordReport(p, start, r)
 	if r.response != nil && r.response.Stream != nil {
-		r.summary = x.summarize(p, "answered", elapsed)
+		completed, label := x.attemptStatus(ctx, r, p, elapsed)
+		r.summary = x.summarize(p, label, elapsed)
 		r.stream = &responseStream{BodyStream: r.response.Stream, x: x, upstreamID: p.ID, release: func(status pick.AttemptStatus) {
+			if status == pick.AttemptSucceeded {
+				status = completed
+			}
 			x.f.endAttempt(p, x.pickReq, elapsed, status)
 			x.f.cfg.Pool.Put(p.conn)
 		}}
@@ -88,6 +92,7 @@
 		Body:     x.req.Body,
 		HasBody:  x.req.HasBody || x.req.Method == http.MethodPost || x.req.Method == http.MethodPut,
 		TimeLeft: time.Until(x.deadline),
+		Memory:   x.memory,
 	}
 	if x.identity.hasAccounts {
 		x.removeAccountHeaders(req.Header)
@@ -162,14 +167,19 @@
 }
 
 // responseOrRetry returns the response for the caller, or nil if another attempt
-// should be made.
+// should be made. A server error that is too long to be held is passed on only if none is, and
+// broken off otherwise.
 func (x *exchange) responseOrRetry(ctx context.Context, r attemptResult) *front.Response {
 	complete := r.err == nil && !r.notRun && !r.invalid
 	if r.isSuccess() || (complete && !x.pickReq.Idempotent) {
 		return x.callerResponse(r)
 	}
-	x.keepFallback(r)
-	if ctx.Err() == nil && x.canRetry(r) {
+	canRetry := ctx.Err() == nil && x.canRetry(r)
+	if r.stream != nil && !canRetry {
+		return x.callerResponse(r)
+	}
+	x.keepOrDiscard(r)
+	if canRetry {
 		x.pickReq.Tried = x.triedIDs()
 		return nil
 	}
--- a/io/serve/exchange.go
+++ b/io/serve/exchange.go
@@ -15,6 +15,7 @@
 	"magnolialedge/core/route"
 	"magnolialedge/io/event"
 	"magnolialedge/io/front"
+	"magnolialedge/io/limit"
 	"magnolialedge/io/link"
 )
 
@@ -77,6 +78,9 @@
 	refusal *acct.Admission
 	// isCounted is set once the request counts towards the retry budget.
 	isCounted bool
+	// memory is what the exchange holds of responses. It is released when the caller's response
+	// has been written.
+	memory *limit.Share
 	// truncated is set if the response ended before it was complete.
 	truncated bool
 }
@@ -92,7 +96,7 @@
 }
 
 func (f *Forwarder) newExchange(r *front.Request) *exchange {
-	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Headers.RequestID)}
+	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Headers.RequestID), memory: f.cfg.ResponseMemory.NewShare()}
 	x.setRoute()
 	x.setTimes(r.Arrived)
 	x.fingerprint = fingerprintOf(r)
@@ -144,6 +148,7 @@
 // serve returns the response that run makes and logs the request, unless the end of a
 // stream will. A panic becomes an error response.
 func (x *exchange) serve(run func() *front.Response) (resp *front.Response) {
+	defer func() { resp.Release = x.memory.Close }()
 	defer func() {
 		if cause := recover(); cause != nil {
 			x.f.cfg.Log.Log(event.RequestPanicked, "requestId", x.id, "cause", cause, "stack", string(debug.Stack()))
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -15,6 +15,7 @@
 	"magnolialedge/core/stop"
 	"magnolialedge/io/event"
 	"magnolialedge/io/front"
+	"magnolialedge/io/limit"
 	"magnolialedge/io/link"
 )
 
@@ -60,6 +61,9 @@
 	// MayLackRoutes reports whether newer routes may be in force at other entries. A
 	// request without a route is then told to come back. nil means never.
 	MayLackRoutes func() bool
+	// ResponseMemory limits what the requests hold of responses. If it is nil, there is no
+	// limit.
+	ResponseMemory *limit.Holder
 	// Quotas keeps the limits of client accounts. It may be nil.
 	Quotas AccountQuotas
 	// Admission turns on admission control by priority. It is on, too, while the
@@ -119,6 +123,9 @@
 
 // NewForwarder returns a Forwarder without routes.
 func NewForwarder(cfg Config) *Forwarder {
+	if cfg.ResponseMemory == nil {
+		cfg.ResponseMemory = limit.NewHolder(limit.HolderConfig{})
+	}
 	return &Forwarder{
 		cfg:           cfg,
 		hashKey:       newHashKey(),
--- a/io/serve/handed.go
+++ b/io/serve/handed.go
@@ -116,7 +116,7 @@
 
 // newHandedExchange returns the exchange of a request that was handed over.
 func (f *Forwarder) newHandedExchange(r *front.Request, h handover) *exchange {
-	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Headers.RequestID), handover: &h, hasRouting: true, hasRoute: true}
+	x := &exchange{f: f, req: r, id: r.Header.Get(f.cfg.Headers.RequestID), handover: &h, hasRouting: true, hasRoute: true, memory: f.cfg.ResponseMemory.NewShare()}
 	x.match = route.Match{
 		Route:   magnolialedge.Route{Name: h.Route, Host: r.Host, Kind: h.Kind, Priority: h.Priority, LatencyTargetMs: h.LatencyTargetMs, MaxAttempts: h.MaxAttempts, AllowedRegions: h.AllowedRegions},
 		Service: magnolialedge.RoutedService{Name: h.Service, HealthPath: f.healthPathOf(h.Service, "/")},
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -119,6 +119,14 @@
 
 // handedResponse returns the response for the caller from that of another entry.
 func (x *exchange) handedResponse(r attemptResult) *front.Response {
+	resp := x.convertHanded(r)
+	if r.stream != nil && resp.Stream == nil {
+		r.stream.discard()
+	}
+	return resp
+}
+
+func (x *exchange) convertHanded(r attemptResult) *front.Response {
 	switch {
 	case r.notRun && x.mayHaveRun:
 		return x.reject(magnolialedge.KindUpstreamLost, 0)
--- a/io/serve/hedge.go
+++ b/io/serve/hedge.go
@@ -40,7 +40,7 @@
 			if r.isSuccess() || running == 0 {
 				return r
 			}
-			x.keepFallback(r)
+			x.keepOrDiscard(r)
 		case <-ticker.C:
 			if hedged || running == 0 {
 				continue
@@ -118,6 +118,16 @@
 	return r.err == nil && !r.notRun && !r.invalid && !r.response.IsServerError()
 }
 
+// keepOrDiscard keeps a server error as the fallback while another attempt runs, unless it is too
+// long to be held.
+func (x *exchange) keepOrDiscard(r attemptResult) {
+	if r.stream != nil {
+		r.stream.discard()
+		return
+	}
+	x.keepFallback(r)
+}
+
 // keepFallback keeps an upstream's error response in case no other attempt yields
 // a better one.
 func (x *exchange) keepFallback(r attemptResult) {
--- a/io/soak/cluster.go
+++ b/io/soak/cluster.go
@@ -25,6 +25,8 @@
 	Upstreams int
 	// RequestsPerSecond is the request rate from each region.
 	RequestsPerSecond float64
+	// MemoryMB is the memory of an entry; 0 means no limit.
+	MemoryMB int
 	// Duration is the time during which faults are injected.
 	Duration time.Duration
 	// Seed seeds the random choices of faults and requests.
--- a/io/soak/entry.go
+++ b/io/soak/entry.go
@@ -85,7 +85,7 @@
 		CallerAddress: address(0), ReadyAddress: address(1), DirectoryAddress: address(2), PeerAddress: address(3),
 		FirstPort: firstPort + 3, LastPort: firstPort + 3, StoreAddress: listener.Addr().String(),
 		StopTimeout: stopTimeout, RetryRatio: retryRatio, RetryExtra: retryExtra,
-		MaxResolveTTL: 5 * time.Second,
+		MaxResolveTTL: 5 * time.Second, MemoryMB: cfg.MemoryMB,
 	}
 	return e, nil
 }
