Probe the store while an entry that may watch it looks for a source

What callers saw: with five of six entries that hang at the store, two of these paused, a change was in force 0.7 s past its bound everywhere, also at the one entry that reaches the store.

Cause: that entry called the store only after it had waited for its sources, one after the other; the next one was paused. Only entries that may not watch the store probed it meanwhile.

Change: each entry that does not call the store at that moment probes it once nothing has been confirmed for BackupDelay, spread over ProbeSpread. Backup streams were ruled out as a way, since no other entry knows the change.

--- a/io/mirror/backup.go
+++ b/io/mirror/backup.go
@@ -108,10 +108,11 @@
 	}
 }
 
-// mayProbe reports whether this entry may probe the store: one that may watch it calls it
-// anyway. f.mu must be held.
+// mayProbe reports whether this entry may probe the store. One that calls it anyway does not. One
+// that may watch the store, but is still looking for a source, does: its sources may all be
+// silent, and each would be waited for. f.mu must be held.
 func (f *Follower) mayProbe() bool {
-	return f.cfg.ProbeStore != nil && f.cfg.MayWatch != nil && !f.cfg.MayWatch() && !f.backups.isProbing
+	return f.cfg.ProbeStore != nil && !f.isPolling && !f.backups.isProbing
 }
 
 // probeStore asks the store for the changes that this entry lacks, after a cheap call that
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -54,7 +54,7 @@
 	// BackupPeers returns the addresses of other entries, best first. They may still
 	// reach the store when this entry and its sources do not. It may be nil.
 	BackupPeers func() []string
-	// ProbeStore makes a cheap call to the store. An entry that may not watch the store
+	// ProbeStore makes a cheap call to the store. An entry that follows sources
 	// makes it before it asks for changes while no other entry reaches the store. nil
 	// means that it does not call the store then.
 	ProbeStore func(context.Context) error
@@ -117,6 +117,8 @@
 	// publishedAt is reachedAt as of the last message to all subscribers.
 	publishedAt time.Time
 	backups     backups
+	// isPolling is set while this entry calls the store instead of following sources.
+	isPolling bool
 	// replyDelay is by how much the store's last reply was late.
 	replyDelay time.Duration
 	// unreachable is set from a failed call until the store is reached again.
@@ -143,13 +145,16 @@
 	}
 	for ctx.Err() == nil {
 		if len(f.cfg.Sources()) == 0 {
+			f.setPolling(true)
 			f.pollStore(ctx, f.canDeferListing())
 			continue
 		}
+		f.setPolling(false)
 		if f.followSources(ctx) {
 			continue
 		}
 		if f.cfg.MayWatch == nil || f.cfg.MayWatch() {
+			f.setPolling(true)
 			f.pollStoreFor(ctx, fallbackDuration)
 			continue
 		}
@@ -256,6 +261,12 @@
 	return storeRetryDelay + rand.N(storeRetryJitter)
 }
 
+func (f *Follower) setPolling(polling bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isPolling = polling
+}
+
 func (f *Follower) setListed(listed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/mirror/spread_test.go
+++ b/io/mirror/spread_test.go
@@ -226,3 +226,51 @@
 		})
 	}
 }
+
+// Guards against a change that is late because the only entry that the store serves waits for
+// paused sources, one after the other, before it asks the store.
+func TestEntryThatAloneReachesTheStoreDoesNotWaitForPausedSources(t *testing.T) {
+	for _, c := range []struct {
+		entries int
+		// served is the entry that reaches the store. Its sources are paused.
+		served int
+		bound  time.Duration
+	}{
+		{6, fleetRegions, mirror.DefaultPropagation},
+		{14, 2 * fleetRegions, mirror.DefaultPropagation},
+		{14, 3 * fleetRegions, mirror.DefaultPropagation},
+		{312, 2 * fleetRegions, largeFleetBound},
+	} {
+		t.Run(fmt.Sprintf("%d entries, entry %d", c.entries, c.served), func(t *testing.T) {
+			if c.entries < 100 {
+				t.Parallel()
+			}
+			s := newFakeStore()
+			s.set("a", false)
+			fleet := startFleet(t, s, c.entries, c.bound)
+			r := rand.New(rand.NewPCG(uint64(c.entries), uint64(c.served)))
+			for round := range 4 {
+				time.Sleep(3 * time.Second)
+				for i, e := range fleet {
+					if i != c.served {
+						e.store.mode.Store(int32(storeHangs))
+					}
+				}
+				for rank := range min(fleetSources, c.served/fleetRegions) {
+					fleet[rank*fleetRegions].paused.Store(true)
+				}
+				time.Sleep(time.Duration(r.Int64N(int64(1500 * time.Millisecond))))
+				key := fmt.Sprint("change-", round)
+				s.set(key, false)
+				time.Sleep(c.bound)
+				for i, e := range fleet {
+					require.True(t, e.paused.Load() || e.keys.has(key)(), "entry %d in round %d", i, round)
+				}
+				for _, e := range fleet {
+					e.store.mode.Store(int32(storeServes))
+					e.paused.Store(false)
+				}
+			}
+		})
+	}
+}
--- a/io/soak/hang_test.go
+++ b/io/soak/hang_test.go
@@ -48,6 +48,7 @@
 		{name: "four of nine hang and two are paused", entries: 9, affected: 4, paused: 2, link: hangingLink, seed: 3},
 		{name: "five of six lose the replies", entries: 6, affected: 5, link: lostReplies, seed: 4},
 		{name: "five of six are reset", entries: 6, affected: 5, link: resetLink, seed: 5},
+		{name: "three of six hang, two are paused, and one is left", entries: 6, affected: 3, paused: 2, link: hangingLink, seed: 7},
 		{name: "the store replies to all a second late", entries: 6, affected: 6, link: slowLink, seed: 6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
