--- a/core/stop/schedule_test.go
+++ b/core/stop/schedule_test.go
@@ -12,15 +12,15 @@
 func TestScheduleAtItsEdges(t *testing.T) {
 	const ms = time.Millisecond
 	signal := time.Unix(1000, 0)
-	s := NewSchedule(Config{Notice: 2300 * ms, Work: 5500 * ms}, signal)
+	s := NewSchedule(Config{Open: 2300 * ms, Work: 5500 * ms}, signal)
 	for _, c := range []struct {
 		name                    string
 		now, deadline, expected time.Duration
 		permitted               bool
 	}{
 		{"ends with the entry", 2300 * ms, 5500 * ms, 0, true},
-		{"may end later, after the notice", 2300 * ms, 5501 * ms, 0, false},
-		{"may end later, before the end of the notice", 2299 * ms, 5501 * ms, 3201 * ms, true},
+		{"may end later, after the open period", 2300 * ms, 5501 * ms, 0, false},
+		{"may end later, in the open period", 2299 * ms, 5501 * ms, 3201 * ms, true},
 		{"is expected to end later", 2299 * ms, 9 * time.Second, 3202 * ms, false},
 		{"is expected to end later, but may not", 2299 * ms, 5500 * ms, 4000 * ms, true},
 		{"begins at the signal", 0, time.Minute, 5500 * ms, true},
@@ -35,8 +35,8 @@
 	}
 }
 
-func TestNoticeLeavesHalfOfTheTimeForWork(t *testing.T) {
+func TestOpenPeriodLeavesHalfOfTheTimeForWork(t *testing.T) {
 	signal := time.Unix(1000, 0)
-	s := NewSchedule(Config{Notice: 6 * time.Second, Work: 2 * time.Second}, signal)
-	require.Equal(t, signal.Add(time.Second), s.NoticeEnd())
+	s := NewSchedule(Config{Open: 6 * time.Second, Work: 2 * time.Second}, signal)
+	require.Equal(t, signal.Add(time.Second), s.OpenUntil())
 }
--- a/io/call/exchange.go
+++ b/io/call/exchange.go
@@ -144,7 +144,7 @@
 }
 
 // maySend reports whether an attempt may be sent now, as far as a stop of this entry permits it.
-// The schedule has no notice, so that the expected time does not matter.
+// The schedule has no open period, so that the expected time does not matter.
 func (x *exchange) maySend() bool {
 	return x.server.schedule().Permits(time.Now(), stop.Work{Deadline: x.deadline})
 }
--- a/io/node/stop.go
+++ b/io/node/stop.go
@@ -38,8 +38,8 @@
 	n.isLeaving.Store(true)
 	deadline := start.Add(n.settings.StopTimeout - stopMargin)
 	n.forwarder.BeginStop(stop.NewSchedule(stop.Config{
-		Notice: idleCloseDelay,
-		Work:   deadline.Sub(start) - responseMargin,
+		Open: idleCloseDelay,
+		Work: deadline.Sub(start) - responseMargin,
 	}, start))
 	n.credits.leave()
 	n.members.setLeaving()
--- a/io/serve/stop.go
+++ b/io/serve/stop.go
@@ -15,12 +15,12 @@
 var errLeaving = errors.New("this entry is stopping")
 
 // BeginStop makes the forwarder begin no more work than s permits. Requests that it does not permit
-// are refused, those that wait in a queue when the notice ends.
+// are refused, those that wait in a queue when the open period ends.
 func (f *Forwarder) BeginStop(s stop.Schedule) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stopping = s
-	time.AfterFunc(time.Until(s.NoticeEnd()), f.wakeUnpermitted)
+	time.AfterFunc(time.Until(s.OpenUntil()), f.wakeUnpermitted)
 }
 
 // wakeUnpermitted wakes the waiting requests that may no longer be sent.
@@ -78,7 +78,7 @@
 
 // isStopping reports whether this entry was told to stop. The caller holds f.mu.
 func (f *Forwarder) isStopping() bool {
-	return !f.stopping.NoticeEnd().IsZero()
+	return !f.stopping.OpenUntil().IsZero()
 }
 
 // rejectLeaving returns the response to a request that may not be sent because this entry
