Log which entries resolve responses leave out, and why

Cause: the lines of an entry did not show whom its responses name. No decision changes. Result: go test ./io/event ./io/node passes.

--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -40,6 +40,7 @@
 	PrimarySilent           = Event{2025, "primarySilent", Warning, "Neither the store nor the entry's source has confirmed for `silentMs` that its items are up to date; it also receives changes from further entries."}
 	PrimaryConfirmed        = Event{2026, "primaryConfirmed", Info, "The store or the entry's source confirms again that its items are up to date; the further entries are left."}
 	StoreProbed             = Event{2027, "storeProbed", Info, "No other entry reaches the store, and this one, which otherwise leaves it to its sources, has called it; `err` is empty if the store serves it."}
+	SteeringChanged         = Event{2028, "steeringChanged", Info, "This entry no longer names another one in resolve responses, because it does not respond, or names it again; `reason` tells why."}
 	UpstreamLost            = Event{3001, "upstreamLost", Warning, "A connection to an upstream broke after a request was written to it."}
 	UpstreamDraining        = Event{3002, "upstreamDraining", Info, "An upstream reported that it is draining."}
 	ConnectionStalled       = Event{3003, "connectionStalled", Warning, "A connection made no progress; the upstream's idle connections were closed."}
@@ -92,7 +93,7 @@
 		LinesDropped, AcceptFailed, MemoryShort, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone, ManyChanges,
-		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored, SourceFollowed, PrimarySilent, PrimaryConfirmed, StoreProbed,
+		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored, SourceFollowed, PrimarySilent, PrimaryConfirmed, StoreProbed, SteeringChanged,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
--- a/io/node/end_report.go
+++ b/io/node/end_report.go
@@ -96,7 +96,7 @@
 }
 
 func (n *Node) markUnreachable(name string, cause error) {
-	if n.members.markUnreachable(time.Now(), name) {
+	if n.members.markUnreachable(time.Now(), name, "own check") {
 		n.log.Log(event.MemberUnreachable, "member", name, "subscribers", n.follower.Subscribers(), "err", cause)
 	}
 }
@@ -110,7 +110,7 @@
 // applyUnreachable records the entries that a source found not to respond.
 func (n *Node) applyUnreachable(names []string) {
 	for _, name := range names {
-		n.members.markUnreachable(time.Now(), name)
+		n.members.markUnreachable(time.Now(), name, "source")
 	}
 }
 
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -101,6 +101,8 @@
 	// Admission holds what is refused because of its priority, by service.
 	Admission any `json:"admission"`
 	Members   any `json:"members"`
+	// LeftOut holds the listed entries that resolve responses leave out, with the reason.
+	LeftOut map[string]string `json:"leftOut,omitempty"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -119,6 +121,7 @@
 			Isolated:      n.forwarder.IsIsolated(),
 			Evacuated:     n.evacuations.list(),
 			Members:       n.members.list(),
+			LeftOut:       n.members.leftOut(time.Now()),
 			Cold:          n.coldUpstreams(),
 			Accounts:      n.forwarder.AccountStates(),
 			AccountLimits: n.credits.dump(time.Now()),
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -37,6 +37,8 @@
 	// to have ended.
 	endedRuns map[string]int64
 	reach     *proc.Reachability
+	// markedBy holds by whom each entry in reach was last marked.
+	markedBy map[string]string
 	// delisted is set when the store no longer lists this entry.
 	delisted bool
 	// restored is set when the store was restored from a copy, and ownItem is this
@@ -46,7 +48,7 @@
 }
 
 func newMembers(self magnolialedge.Instance) *members {
-	return &members{self: self, byName: map[string]magnolialedge.Instance{}, selfReported: map[string]magnolialedge.Instance{}, endedRuns: map[string]int64{}, reach: proc.NewReachability()}
+	return &members{self: self, byName: map[string]magnolialedge.Instance{}, selfReported: map[string]magnolialedge.Instance{}, endedRuns: map[string]int64{}, reach: proc.NewReachability(), markedBy: map[string]string{}}
 }
 
 // applyItem applies a change of the store if it concerns an entry, and reports
@@ -226,11 +228,12 @@
 	return ok && m.latest(listed).StartedAt == in.StartedAt && !m.hasEnded(in)
 }
 
-// markUnreachable records that an entry does not respond, and reports whether this
-// was not known.
-func (m *members) markUnreachable(now time.Time, name string) bool {
+// markUnreachable records that an entry does not respond, as an observer found, and reports
+// whether this was not known.
+func (m *members) markUnreachable(now time.Time, name, observer string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.markedBy[name] = observer
 	return name != m.self.Name && m.reach.MarkUnreachable(now, name)
 }
 
@@ -239,9 +242,37 @@
 func (m *members) markReachable(now time.Time, name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.markedBy, name)
 	return m.reach.MarkReachable(now, name)
 }
 
+// leftOut returns the listed entries that resolve responses leave out, and who found that
+// they do not respond.
+func (m *members) leftOut(now time.Time) map[string]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]string{}
+	for _, name := range m.reach.Unreachable(now) {
+		if _, ok := m.byName[name]; ok {
+			out[name] = m.markedBy[name]
+		}
+	}
+	return out
+}
+
+// namedReason returns why an entry is not left out of resolve responses any longer.
+func (m *members) namedReason(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.byName[name]; !ok {
+		return "no longer listed"
+	}
+	if _, ok := m.markedBy[name]; !ok {
+		return "responded"
+	}
+	return "nobody confirms that it does not respond"
+}
+
 // unreachable returns the names of the entries that do not respond.
 func (m *members) unreachable() []string {
 	m.mu.Lock()
--- a/io/node/members_test.go
+++ b/io/node/members_test.go
@@ -155,15 +155,15 @@
 	if !slices.Contains(m.addresses("shop.example", east, nil), "b:1") {
 		lost = "c"
 	}
-	require.True(t, m.markUnreachable(now, lost))
-	require.False(t, m.markUnreachable(now, lost))
+	require.True(t, m.markUnreachable(now, lost, "test"))
+	require.False(t, m.markUnreachable(now, lost, "test"))
 	require.Len(t, m.addresses("shop.example", east, nil), 2)
 	require.NotContains(t, m.addresses("shop.example", east, nil), lost+":1")
 	require.Equal(t, []string{lost}, m.unreachable())
 	require.Len(t, m.list(), 3, "an entry that does not respond stays a member")
 	require.True(t, m.markReachable(now, lost))
 	require.Contains(t, m.addresses("shop.example", east, nil), lost+":1")
-	require.False(t, m.markUnreachable(now, "a"), "an entry never blames itself")
+	require.False(t, m.markUnreachable(now, "a", "test"), "an entry never blames itself")
 }
 
 // Load pattern: the store is away for all of a region's entries. Few of them may call
@@ -181,7 +181,7 @@
 			for _, other := range names {
 				m.applyItem(listingItem(t, testInstance(other, "east")))
 			}
-			m.markUnreachable(time.Now(), unreachable)
+			m.markUnreachable(time.Now(), unreachable, "test")
 			if m.mayWatch() {
 				out = append(out, name)
 				continue
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -273,6 +273,7 @@
 	go n.reportReady(workCtx)
 	go n.reportDroppedLines(workCtx)
 	go n.reportShortages(workCtx)
+	go n.reportSteering(workCtx)
 	defer n.logWriter.Close()
 	for {
 		select {
--- a/io/soak/entry.go
+++ b/io/soak/entry.go
@@ -153,6 +153,8 @@
 type entryStatus struct {
 	Version int64 `json:"routingVersion"`
 	Leaving bool  `json:"leaving"`
+	// LeftOut holds the listed entries that resolve responses leave out.
+	LeftOut map[string]any `json:"leftOut"`
 }
 
 // status requests the dump of the entry from its metrics port.
