Leave entries out of resolve responses while nobody hears them

Cause: evidence of absence with a lifetime, held by one process. Only the entry whose stream broke checked the silent one, and its mark ended 3 s after the last check: when the holder stopped, restarted or lost its subscribers, the entry was named until its lease ended. Marks stayed in the region, an entry that started knew nothing, and an accepted connection (by the kernel of a paused process) counted as a response. Change: what expires is the evidence of life. core/alive holds when each entry was last heard by anybody; each round an entry asks a few others, whose responses tell whom they have heard. Ages merge by the minimum and count from the request, so that evidence needs no holder and never becomes younger. An entry that starts learns with the first responses. Marks, the check by connection and the names that sources passed on are gone; streams still name silent entries for earlier releases. The time is that of the machine, as the monotonic clock leaves a suspension out.

--- /dev/null
+++ b/core/alive/peers.go
@@ -0,0 +1,155 @@
+package alive
+
+import (
+	"cmp"
+	"maps"
+	"math/bits"
+	"slices"
+	"time"
+
+	"magnolialedge"
+)
+
+const (
+	// An entry is also asked directly once its evidence is older than this fraction of its
+	// bound, so that its own silence is seen before it is left out.
+	dueShare = 0.5
+	// retryIntervals is the number of rounds between two requests to the same entry for that.
+	retryIntervals = 2
+	// maxDueNear and maxDueFar limit these requests in a round.
+	maxDueNear = 8
+	maxDueFar  = 2
+	// farPerRound is the number of requests in a round from all entries of a place to other
+	// places, and silentPerRound the number to entries that are silent.
+	farPerRound    = 2.0
+	silentPerRound = 1.0
+)
+
+// Request is a request to an entry.
+type Request struct {
+	To magnolialedge.Instance
+	// About names an entry that does not respond to this one. The receiver asks it, too, before it
+	// responds. It is empty if there is none.
+	About string
+}
+
+// Next returns the requests that this entry sends in this round. Within a place, the distance to
+// the next entry doubles from round to round, so that evidence reaches n entries in about
+// log2(n) rounds.
+func (t *Table) Next(now time.Time) []Request {
+	t.round++
+	chosen := map[string]Request{}
+	add := func(r *record) {
+		if r != nil {
+			r.triedAt = now
+			chosen[r.Name] = Request{To: r.Instance}
+		}
+	}
+	for _, r := range t.due(now) {
+		add(r)
+	}
+	add(t.neighbor())
+	if t.isTurn(farPerRound) {
+		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return !r.isNear && !r.isSilent && !r.isDoubtful() })))
+	}
+	if t.isTurn(silentPerRound) {
+		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isSilent })))
+	}
+	if request, ok := t.indirect(now); ok {
+		chosen[request.To.Name] = request
+	}
+	return slices.Collect(maps.Values(chosen))
+}
+
+// indirect returns the request by which an entry of another place, if there is one, asks an entry of
+// this place that does not respond to this one: only the links within the place may be at fault.
+func (t *Table) indirect(now time.Time) (Request, bool) {
+	isDoubtful := func(r *record) bool { return r.isNear && !r.isSilent && r.isDoubtful() && t.isDue(now, r) }
+	doubtful := t.oldestOfTwo(t.candidates(isDoubtful))
+	helper := t.oldestOfTwo(t.candidates(func(r *record) bool { return !r.isNear && !r.isSilent && !r.isDoubtful() }))
+	if doubtful == nil || helper == nil {
+		return Request{}, false
+	}
+	return Request{To: helper.Instance, About: doubtful.Name}, true
+}
+
+// neighbor returns the entry of this place whose turn it is, or nil.
+func (t *Table) neighbor() *record {
+	var before, after []*record
+	for i, r := range t.near {
+		switch {
+		case r.isSilent || r.isDoubtful():
+		case i < t.selfIndex:
+			before = append(before, r)
+		default:
+			after = append(after, r)
+		}
+	}
+	ring := append(after, before...)
+	if len(ring) == 0 {
+		return nil
+	}
+	distance := 1 << (t.round % bits.Len(uint(len(ring))))
+	return ring[distance-1]
+}
+
+// isDue reports whether the evidence of an entry is so old that it should be asked directly.
+func (t *Table) isDue(now time.Time, r *record) bool {
+	return r.isAssumed || float64(now.Sub(r.at)) > dueShare*float64(t.bound(r))
+}
+
+// due returns the entries that this one asks directly because their evidence is old.
+func (t *Table) due(now time.Time) []*record {
+	all := t.candidates(func(r *record) bool {
+		return t.isDue(now, r) && !r.isSilent && now.Sub(r.triedAt) >= retryIntervals*t.cfg.Timing.Interval
+	})
+	slices.SortFunc(all, func(a, b *record) int { return cmp.Or(a.triedAt.Compare(b.triedAt), a.at.Compare(b.at)) })
+	var out []*record
+	near, far := 0, 0
+	for _, r := range all {
+		switch {
+		case r.isNear && near < maxDueNear:
+			near++
+			out = append(out, r)
+		case !r.isNear && far < maxDueFar:
+			far++
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// candidates returns the listed entries that match, in the order of their names. Those that are
+// leaving still know whom they have heard.
+func (t *Table) candidates(match func(*record) bool) []*record {
+	var out []*record
+	for _, r := range t.records {
+		if r.unlistedAt.IsZero() && match(r) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *record) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// oldestOfTwo returns the one of two random records that was asked less recently, or nil. The
+// oldest of all would be the same one for all entries.
+func (t *Table) oldestOfTwo(all []*record) *record {
+	if len(all) == 0 {
+		return nil
+	}
+	a, b := all[t.cfg.Random(len(all))], all[t.cfg.Random(len(all))]
+	if b.triedAt.Before(a.triedAt) {
+		return b
+	}
+	return a
+}
+
+// turnUnits is the resolution of isTurn.
+const turnUnits = 1 << 20
+
+// isTurn returns true in so many rounds that it is true perRound times in a round of all entries
+// of this place.
+func (t *Table) isTurn(perRound float64) bool {
+	return float64(t.cfg.Random(turnUnits))*float64(len(t.near)+1) < perRound*turnUnits
+}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -28,7 +28,6 @@
 	MemberHeard             = Event{2013, "memberHeard", Info, "Another entry announced that it started or is leaving."}
 	MemberGone              = Event{2014, "memberGone", Info, "Another entry was found to have stopped without announcing it."}
 	ManyChanges             = Event{2015, "manyChanges", Info, "Many changes arrived together, as at startup; changes of upstreams are not logged one by one."}
-	MemberUnreachable       = Event{2016, "memberUnreachable", Warning, "Another entry is listed but does not respond; callers are steered to others."}
 	MemberReachable         = Event{2017, "memberReachable", Info, "An entry that did not respond does so again."}
 	StoreRestored           = Event{2018, "storeRestored", Warning, "The store was restored from a copy: its replies name another era, and its revisions have gone back."}
 	OlderListIgnored        = Event{2019, "olderListIgnored", Warning, "A list of all items was not applied, because it is older than the items that the entry has."}
@@ -93,7 +92,7 @@
 		LinesDropped, AcceptFailed, MemoryShort, VersionInForce, VersionRejected, VersionAccepted, RelayChanged,
 		StoreUnreachable, StoreReachable, ListUnreachable, RoutingInForce,
 		ItemUnusable, HistoryLost, SourceLost, PeerUnreachable, MemberHeard, MemberGone, ManyChanges,
-		MemberUnreachable, MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored, SourceFollowed, PrimarySilent, PrimaryConfirmed, StoreProbed, SteeringChanged,
+		MemberReachable, StoreRestored, OlderListIgnored, EndUnconfirmed, ZoneEvacuated, ZoneReturned, EvacuationIgnored, SourceFollowed, PrimarySilent, PrimaryConfirmed, StoreProbed, SteeringChanged,
 		UpstreamLost, UpstreamDraining, ConnectionStalled, Quarantined,
 		RequestServed, RequestUnreadable, UpstreamUnreachable, UpstreamCrashed,
 		UpstreamRegistered, UpstreamRemoved, SecondAttempt,
--- a/io/mirror/follower.go
+++ b/io/mirror/follower.go
@@ -76,13 +76,9 @@
 	Timing mirror.Timing
 	// Name identifies this entry to its sources.
 	Name string
-	// Unreachable returns the names of the entries that this entry found not to
-	// respond; its subscribers receive them with OnUnreachable. Both may be nil.
-	Unreachable   func() []string
-	OnUnreachable func(names []string)
-	// OnSubscriber receives the name of an entry that subscribes to this one; it
-	// may be nil.
-	OnSubscriber func(name string)
+	// Unreachable returns the names of the entries that do not respond, for subscribers of
+	// earlier releases. It may be nil.
+	Unreachable func() []string
 	// OnSubscriberLost receives the name of an entry whose subscription to this
 	// one has ended, and OnSourceLost the address of a peer whose stream to
 	// this entry has ended; both may be nil.
--- a/io/mirror/follower_test.go
+++ b/io/mirror/follower_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -312,23 +313,26 @@
 	require.Eventually(t, k.has("a99"), 6*time.Second, 5*time.Millisecond)
 }
 
-// A source names the entries that do not respond, and its subscribers learn of them
-// with the next message.
-func TestSubscribersLearnOfUnreachableEntries(t *testing.T) {
-	source := NewFollower(Config{Store: newFakeStore(), OnChange: ignoreChanges, Sources: noSources, Dialer: httpPeers{},
+// Entries of earlier releases learn only from the stream which entries do not respond. Guards
+// against a stream that no longer names them while both releases run.
+func TestStreamNamesUnreachableEntries(t *testing.T) {
+	source := NewFollower(Config{Store: newFakeStore(), OnChange: ignoreChanges, Sources: noSources,
 		Unreachable: func() []string { return []string{"lost"} }, Log: event.Logger{}})
 	go source.Run(t.Context())
 	srv := httptest.NewServer(source)
 	defer srv.CloseClientConnections()
-	learned := make(chan []string, 100)
-	subscriber := NewFollower(Config{Store: newFakeStore(), OnChange: ignoreChanges, Dialer: httpPeers{},
-		Sources:       func() []string { return []string{srv.Listener.Addr().String()} },
-		OnUnreachable: func(names []string) { learned <- names }, Log: event.Logger{}})
-	go subscriber.Run(t.Context())
-	select {
-	case names := <-learned:
-		require.Equal(t, []string{"lost"}, names)
-	case <-time.After(3 * time.Second):
-		t.Fatal("the subscriber learned of no entry")
+	require.Eventually(t, func() bool { return source.Revision() > 0 }, 3*time.Second, 5*time.Millisecond)
+	stream, err := httpPeers{}.Open(t.Context(), srv.Listener.Addr().String(), StreamPath)
+	require.NoError(t, err)
+	defer stream.Close()
+	lines := bufio.NewScanner(stream)
+	for lines.Scan() {
+		var m message
+		require.NoError(t, json.Unmarshal(lines.Bytes(), &m))
+		if len(m.Unreachable) > 0 {
+			require.Equal(t, []string{"lost"}, m.Unreachable)
+			return
+		}
 	}
+	require.FailNow(t, "the stream ended without naming the entry")
 }
--- a/io/mirror/reader.go
+++ b/io/mirror/reader.go
@@ -105,9 +105,6 @@
 		if err := m.decompress(); err != nil {
 			return err
 		}
-		if len(m.Unreachable) > 0 && f.cfg.OnUnreachable != nil {
-			f.cfg.OnUnreachable(m.Unreachable)
-		}
 		now := time.Now()
 		a := fromPeer(now, f.cfg.Timing, address, m)
 		a.isBackup = l.isBackup
--- a/io/mirror/stream.go
+++ b/io/mirror/stream.go
@@ -64,7 +64,7 @@
 	// Relays is set by entries that pass confirmations on at once. Those of earlier
 	// releases send them with the next heartbeat.
 	Relays bool `json:"relays,omitempty"`
-	// Unreachable names the entries that the source found not to respond.
+	// Unreachable names the entries that do not respond. Only earlier releases use it.
 	Unreachable []string `json:"unreachable,omitempty"`
 }
 
@@ -224,9 +224,6 @@
 		return
 	}
 	name := r.URL.Query().Get(subscriberParam)
-	if name != "" && f.cfg.OnSubscriber != nil {
-		f.cfg.OnSubscriber(name)
-	}
 	first, sub := f.subscribe(knownPosition(r.URL.Query()))
 	defer f.unsubscribe(sub)
 	defer f.subscriberLost(name)
--- a/io/node/end_report.go
+++ b/io/node/end_report.go
@@ -14,7 +14,6 @@
 	"github.com/labstack/echo/v4"
 
 	"magnolialedge"
-	"magnolialedge/core/proc"
 	"magnolialedge/io/event"
 )
 
@@ -44,9 +43,8 @@
 
 // subscriberLost checks an entry whose stream from this one has ended.
 func (n *Node) subscriberLost(name string) {
-	in, ok := n.members.find(func(in magnolialedge.Instance) bool { return in.Name == name })
-	if ok {
-		n.checkUntilResolved(in, n.isObserverConnected)
+	if in, ok := n.findEntry(name); ok {
+		n.checkUntilResolved(in)
 	}
 }
 
@@ -54,38 +52,33 @@
 func (n *Node) sourceLost(address string) {
 	in, ok := n.members.find(func(in magnolialedge.Instance) bool { return in.PeerAddress == address })
 	if ok {
-		go n.checkUntilResolved(in, func() bool { return true })
+		go n.checkUntilResolved(in)
 	}
 }
 
-// isObserverConnected reports whether enough entries of the region are connected to
-// this one to conclude that the others do not respond.
-func (n *Node) isObserverConnected() bool {
-	return proc.IsObserverConnected(n.follower.Subscribers(), len(n.members.ranked())-1)
-}
-
-// checkUntilResolved checks an entry until it responds, has ended or is no longer
-// listed. While it does not respond, callers are steered to others. Only a refused
-// connection means that it has ended: an entry that does not respond may be paused
-// or partitioned, and its lease decides.
-func (n *Node) checkUntilResolved(in magnolialedge.Instance, mayBlame func() bool) {
+// checkUntilResolved checks an entry until it accepts a connection, has ended or is no longer
+// listed. Only a refused connection means that it has ended: an entry that does not respond may
+// be paused or partitioned, which others hear.
+func (n *Node) checkUntilResolved(in magnolialedge.Instance) {
 	time.Sleep(endCheckDelay)
 	for !n.isLeaving.Load() && n.members.isCurrent(in) {
-		err := dialPeer(in)
-		switch {
-		case err == nil:
-			n.markReachable(in.Name)
+		if n.confirmEnd(in) {
 			return
-		case errors.Is(err, syscall.ECONNREFUSED):
-			n.reportEnd(in)
-			return
-		case mayBlame():
-			n.markUnreachable(in.Name, err)
 		}
 		time.Sleep(endCheckInterval)
 	}
 }
 
+// confirmEnd checks an entry once, and reports whether it is known now whether it has ended.
+func (n *Node) confirmEnd(in magnolialedge.Instance) bool {
+	err := dialPeer(in)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		n.reportEnd(in)
+		return true
+	}
+	return err == nil
+}
+
 // dialPeer returns an error unless an entry accepts a connection from its peers.
 func dialPeer(in magnolialedge.Instance) error {
 	c, err := net.DialTimeout("tcp", in.PeerAddress, endCheckTimeout)
@@ -95,25 +88,6 @@
 	return c.Close()
 }
 
-func (n *Node) markUnreachable(name string, cause error) {
-	if n.members.markUnreachable(time.Now(), name, "own check") {
-		n.log.Log(event.MemberUnreachable, "member", name, "subscribers", n.follower.Subscribers(), "err", cause)
-	}
-}
-
-func (n *Node) markReachable(name string) {
-	if n.members.markReachable(time.Now(), name) {
-		n.log.Log(event.MemberReachable, "member", name)
-	}
-}
-
-// applyUnreachable records the entries that a source found not to respond.
-func (n *Node) applyUnreachable(names []string) {
-	for _, name := range names {
-		n.members.markUnreachable(time.Now(), name, "source")
-	}
-}
-
 // reportEnd records that a run of an entry has ended and reports it to the others.
 func (n *Node) reportEnd(in magnolialedge.Instance) {
 	report := endReport{Name: in.Name, StartedAt: in.StartedAt}
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -35,7 +35,9 @@
 		region = n.settings.Regions[q.Zone]
 	}
 	place := proc.Place{Region: region, Zone: q.Zone}
-	return magnolialedge.Resolution{Addresses: n.members.addresses(q.Host, place, n.forwarder.AllowedRegions(q.Host)), TTL: min(defaultResolveTTL, max(minResolveTTL, n.settings.MaxResolveTTL))}
+	steered := n.members.steered(q.Host, place, n.forwarder.AllowedRegions(q.Host))
+	n.hearing.observeNamed(steered)
+	return magnolialedge.Resolution{Addresses: callerAddresses(steered), TTL: min(defaultResolveTTL, max(minResolveTTL, n.settings.MaxResolveTTL))}
 }
 
 // crashReport is the message to peers that a request crashed upstreams.
@@ -57,6 +59,7 @@
 		return c.NoContent(http.StatusNoContent)
 	})
 	e.POST(peerCheckPath, n.handlePeerCheck)
+	e.GET(hearingPath, n.handleHearing)
 	e.GET(handoverPath, n.acceptHandovers)
 	e.POST(endReportPath, n.handleEndReport)
 	e.POST(limitReportPath, n.handleLimitReport)
@@ -103,6 +106,8 @@
 	Members   any `json:"members"`
 	// LeftOut holds the listed entries that resolve responses leave out, with the reason.
 	LeftOut map[string]string `json:"leftOut,omitempty"`
+	// Hearing holds when each other entry was last heard.
+	Hearing []hearingDump `json:"hearing"`
 }
 
 // metricsHandler serves metrics and the state dump to operators.
@@ -121,7 +126,8 @@
 			Isolated:      n.forwarder.IsIsolated(),
 			Evacuated:     n.evacuations.list(),
 			Members:       n.members.list(),
-			LeftOut:       n.members.leftOut(time.Now()),
+			LeftOut:       n.hearing.leftOut(),
+			Hearing:       n.hearing.dump(n.members.list()),
 			Cold:          n.coldUpstreams(),
 			Accounts:      n.forwarder.AccountStates(),
 			AccountLimits: n.credits.dump(time.Now()),
--- a/io/node/handover.go
+++ b/io/node/handover.go
@@ -112,7 +112,7 @@
 
 // helpers returns the entries that may serve requests of a host in place of this one, best
 // first, among those that accepts returns true for.
-func (m *members) helpers(now time.Time, host string, accepts func(magnolialedge.Instance) bool) []magnolialedge.Instance {
-	accepted := slices.DeleteFunc(m.reachable(now), func(in magnolialedge.Instance) bool { return !accepts(in) })
+func (m *members) helpers(host string, accepts func(magnolialedge.Instance) bool) []magnolialedge.Instance {
+	accepted := slices.DeleteFunc(m.responding(), func(in magnolialedge.Instance) bool { return !accepts(in) })
 	return proc.RankHelpers(accepted, m.self.Name, proc.Place{Region: m.self.Region, Zone: m.self.Zone}, host)
 }
--- a/io/node/limit.go
+++ b/io/node/limit.go
@@ -92,7 +92,7 @@
 
 // QuotaShare implements magnolialedge.QuotaSharer.
 func (q *quotaSharer) QuotaShare(now time.Time, r magnolialedge.Registration) magnolialedge.QuotaShare {
-	share := proc.ShareQuota(q.members.reachable(now), q.members.self.Name, r, q.placeOf(r), q.hostsOf(r.Service))
+	share := proc.ShareQuota(q.members.responding(), q.members.self.Name, r, q.placeOf(r), q.hostsOf(r.Service))
 	if now.Sub(q.start) < proc.MemberSettleTime {
 		share.Fraction = 0
 	}
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"magnolialedge"
+	"magnolialedge/core/alive"
 	"magnolialedge/core/proc"
 )
 
@@ -36,9 +37,8 @@
 	// endedRuns maps an entry to the start time of its latest run that is known
 	// to have ended.
 	endedRuns map[string]int64
-	reach     *proc.Reachability
-	// markedBy holds by whom each entry in reach was last marked.
-	markedBy map[string]string
+	// silent returns the entries that have been silent for too long.
+	silent func() map[string]alive.State
 	// delisted is set when the store no longer lists this entry.
 	delisted bool
 	// restored is set when the store was restored from a copy, and ownItem is this
@@ -48,7 +48,7 @@
 }
 
 func newMembers(self magnolialedge.Instance) *members {
-	return &members{self: self, byName: map[string]magnolialedge.Instance{}, selfReported: map[string]magnolialedge.Instance{}, endedRuns: map[string]int64{}, reach: proc.NewReachability(), markedBy: map[string]string{}}
+	return &members{self: self, byName: map[string]magnolialedge.Instance{}, selfReported: map[string]magnolialedge.Instance{}, endedRuns: map[string]int64{}, silent: func() map[string]alive.State { return nil }}
 }
 
 // applyItem applies a change of the store if it concerns an entry, and reports
@@ -228,64 +228,20 @@
 	return ok && m.latest(listed).StartedAt == in.StartedAt && !m.hasEnded(in)
 }
 
-// markUnreachable records that an entry does not respond, as an observer found, and reports
-// whether this was not known.
-func (m *members) markUnreachable(now time.Time, name, observer string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.markedBy[name] = observer
-	return name != m.self.Name && m.reach.MarkUnreachable(now, name)
-}
-
-// markReachable records that an entry responds, and reports whether it counted as
-// unreachable.
-func (m *members) markReachable(now time.Time, name string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.markedBy, name)
-	return m.reach.MarkReachable(now, name)
-}
-
-// leftOut returns the listed entries that resolve responses leave out, and who found that
-// they do not respond.
-func (m *members) leftOut(now time.Time) map[string]string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := map[string]string{}
-	for _, name := range m.reach.Unreachable(now) {
-		if _, ok := m.byName[name]; ok {
-			out[name] = m.markedBy[name]
-		}
-	}
-	return out
-}
-
-// namedReason returns why an entry is not left out of resolve responses any longer.
-func (m *members) namedReason(name string) string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if _, ok := m.byName[name]; !ok {
-		return "no longer listed"
-	}
-	if _, ok := m.markedBy[name]; !ok {
-		return "responded"
+// responding returns the live entries without those that are silent.
+func (m *members) responding() []magnolialedge.Instance {
+	all := m.list()
+	silent := m.silent()
+	if len(silent) == 0 {
+		return all
 	}
-	return "nobody confirms that it does not respond"
-}
-
-// unreachable returns the names of the entries that do not respond.
-func (m *members) unreachable() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.reach.Unreachable(time.Now())
+	return slices.DeleteFunc(all, func(in magnolialedge.Instance) bool { return isSilent(silent, in) })
 }
 
-// reachable returns the live entries without those that do not respond.
-func (m *members) reachable(now time.Time) []magnolialedge.Instance {
-	all := m.list()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.DeleteFunc(all, func(in magnolialedge.Instance) bool { return m.reach.IsUnreachable(now, in.Name) })
+// isSilent reports whether an entry is among the silent ones.
+func isSilent(silent map[string]alive.State, in magnolialedge.Instance) bool {
+	_, ok := silent[in.Name]
+	return ok
 }
 
 // find returns a live entry other than this one that match accepts, or false.
@@ -331,13 +287,21 @@
 	return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.Count, y.Count)) > 0
 }
 
-// addresses returns the caller addresses that clients of a host at a place should
-// use, in random order. regions lists the only regions in which the host's requests may be
-// served, or is nil.
-func (m *members) addresses(host string, place proc.Place, regions []string) []string {
-	live, count := proc.SteerAllowed(m.reachable(time.Now()), place, host, 0, regions)
+// steered returns the entries that clients of a host at a place should use. regions lists the
+// only regions in which the host's requests may be served, or is nil. Silent entries are left
+// out, unless there are no others.
+func (m *members) steered(host string, place proc.Place, regions []string) []magnolialedge.Instance {
+	live, count := proc.SteerAllowed(m.responding(), place, host, 0, regions)
+	if count == 0 {
+		live, count = proc.SteerAllowed(m.list(), place, host, 0, regions)
+	}
+	return live[:count]
+}
+
+// callerAddresses returns the caller addresses of entries in random order.
+func callerAddresses(entries []magnolialedge.Instance) []string {
 	var out []string
-	for _, in := range live[:count] {
+	for _, in := range entries {
 		out = append(out, in.CallerAddress)
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
--- a/io/node/members_test.go
+++ b/io/node/members_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"slices"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"magnolialedge"
+	"magnolialedge/core/alive"
 	"magnolialedge/core/proc"
 )
 
@@ -67,27 +67,27 @@
 func TestLeavingEntryIsExcludedFromSourcesAndAddresses(t *testing.T) {
 	views := memberViews(t, "east", "a", "b", "c")
 	m := views["a"]
-	before := m.addresses("shop.example", proc.Place{Region: "east"}, nil)
+	before := callerAddresses(m.steered("shop.example", proc.Place{Region: "east"}, nil))
 	require.Len(t, before, 2)
 	for _, name := range []string{"b", "c"} {
 		leaving := testInstance(name, "east")
 		leaving.Leaving = true
 		m.applyItem(listingItem(t, leaving))
 	}
-	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}, nil))
+	require.Equal(t, []string{"a:1"}, callerAddresses(m.steered("shop.example", proc.Place{Region: "east"}, nil)))
 	require.Empty(t, m.sources())
 }
 
 func TestRegionWithoutEntriesGetsAddressesOfOtherRegions(t *testing.T) {
 	views := memberViews(t, "east", "a", "b")
-	require.NotEmpty(t, views["a"].addresses("shop.example", proc.Place{Region: "north"}, nil))
+	require.NotEmpty(t, callerAddresses(views["a"].steered("shop.example", proc.Place{Region: "north"}, nil)))
 }
 
 func TestUnlistedEntryStillReturnsItsOwnAddress(t *testing.T) {
 	m := newMembers(testInstance("a", "east"))
-	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}, nil))
+	require.Equal(t, []string{"a:1"}, callerAddresses(m.steered("shop.example", proc.Place{Region: "east"}, nil)))
 	m.setLeaving()
-	require.Empty(t, m.addresses("shop.example", proc.Place{Region: "east"}, nil))
+	require.Empty(t, callerAddresses(m.steered("shop.example", proc.Place{Region: "east"}, nil)))
 }
 
 func TestMalformedMemberIsIgnored(t *testing.T) {
@@ -105,12 +105,12 @@
 	leaving := testInstance("b", "east")
 	leaving.Leaving = true
 	m.recordSelfReport(leaving)
-	require.Equal(t, []string{"a:1"}, m.addresses("shop.example", proc.Place{Region: "east"}, nil))
+	require.Equal(t, []string{"a:1"}, callerAddresses(m.steered("shop.example", proc.Place{Region: "east"}, nil)))
 	restarted := testInstance("b", "east")
 	restarted.StartedAt = 5
 	m.recordSelfReport(restarted)
 	m.recordSelfReport(leaving)
-	require.Len(t, m.addresses("shop.example", proc.Place{Region: "east"}, nil), 2)
+	require.Len(t, callerAddresses(m.steered("shop.example", proc.Place{Region: "east"}, nil)), 2)
 }
 
 func TestEndedEntryIsExcludedUntilItRestarts(t *testing.T) {
@@ -141,29 +141,43 @@
 	require.Len(t, m.list(), 1)
 }
 
-// Load pattern: one of the two entries that serve a host loses its power. Callers
-// are steered to others although its lease still runs, and to it again once it
-// responds or nothing confirms the loss.
-func TestCallersAreSteeredAwayFromUnreachableEntry(t *testing.T) {
+// silence makes entries count as silent at m.
+func silence(m *members, names ...string) {
+	m.silent = func() map[string]alive.State {
+		out := map[string]alive.State{}
+		for _, name := range names {
+			out[name] = alive.State{Name: name, IsSilent: true}
+		}
+		return out
+	}
+}
+
+// Load pattern: an entry loses power without any sign. Callers of each region
+// are steered to others although its lease still runs, and to it again once it is heard. Responses name
+// silent entries rather than none.
+func TestCallersAreSteeredAwayFromSilentEntry(t *testing.T) {
 	m := newMembers(testInstance("a", "east"))
 	for _, name := range []string{"a", "b", "c"} {
 		m.applyItem(listingItem(t, testInstance(name, "east")))
 	}
-	east := proc.Place{Region: "east"}
-	now := time.Now()
+	m.applyItem(listingItem(t, testInstance("d", "west")))
+	east, west := proc.Place{Region: "east"}, proc.Place{Region: "west"}
+	named := func(place proc.Place, regions []string) []string {
+		return callerAddresses(m.steered("shop.example", place, regions))
+	}
 	lost := "b"
-	if !slices.Contains(m.addresses("shop.example", east, nil), "b:1") {
+	if !slices.Contains(named(east, nil), "b:1") {
 		lost = "c"
 	}
-	require.True(t, m.markUnreachable(now, lost, "test"))
-	require.False(t, m.markUnreachable(now, lost, "test"))
-	require.Len(t, m.addresses("shop.example", east, nil), 2)
-	require.NotContains(t, m.addresses("shop.example", east, nil), lost+":1")
-	require.Equal(t, []string{lost}, m.unreachable())
-	require.Len(t, m.list(), 3, "an entry that does not respond stays a member")
-	require.True(t, m.markReachable(now, lost))
-	require.Contains(t, m.addresses("shop.example", east, nil), lost+":1")
-	require.False(t, m.markUnreachable(now, "a", "test"), "an entry never blames itself")
+	silence(m, lost)
+	require.Len(t, named(east, nil), 2)
+	require.NotContains(t, named(east, nil), lost+":1")
+	require.Len(t, m.list(), 4, "a silent entry stays a member")
+	silence(m)
+	require.Contains(t, named(east, nil), lost+":1")
+	silence(m, "d")
+	require.NotContains(t, named(west, nil), "d:1", "callers of a region without entries are steered to another one")
+	require.Equal(t, []string{"d:1"}, named(west, []string{"west"}), "a response is never empty because of a silence")
 }
 
 // Load pattern: the store is away for all of a region's entries. Few of them may call
@@ -181,7 +195,7 @@
 			for _, other := range names {
 				m.applyItem(listingItem(t, testInstance(other, "east")))
 			}
-			m.markUnreachable(time.Now(), unreachable, "test")
+			silence(m, unreachable)
 			if m.mayWatch() {
 				out = append(out, name)
 				continue
--- a/io/node/metrics.go
+++ b/io/node/metrics.go
@@ -11,6 +11,7 @@
 func (n *Node) registerGauges() {
 	n.credits.registerGauges(n.registry)
 	n.memory.registerGauges(n.registry)
+	n.registry.MustRegister(n.hearing.evidenceAge)
 	gauges := []struct {
 		name, help string
 		value      func() float64
@@ -24,7 +25,7 @@
 		{"upstreams_unreachable", "Upstreams that did not respond to this entry when it last tried them.", func() float64 { return float64(n.forwarder.UnreachableUpstreams()) }},
 		{"evacuated_zones", "Evacuated availability zones.", func() float64 { return float64(len(n.evacuations.list())) }},
 		{"admission_levels", "Services of which less urgent requests are refused.", func() float64 { return float64(len(n.forwarder.AdmissionLevels())) }},
-		{"members_left_out", "Listed entries that resolve responses leave out because they do not respond.", func() float64 { return float64(len(n.members.leftOut(time.Now()))) }},
+		{"members_left_out", "Listed entries that resolve responses leave out because they do not respond.", func() float64 { return float64(len(n.hearing.silent())) }},
 		{"isolated", "1 while this entry reaches no upstream.", func() float64 { return boolGauge(n.forwarder.IsIsolated()) }},
 		{"store_age_seconds", "Time since the store was last reached, by the entry or by its source.", func() float64 { return n.follower.Staleness(time.Now()).Seconds() }},
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -58,6 +58,7 @@
 	memory    memory
 
 	members      *members
+	hearing      *hearing
 	quotas       *quotaSharer
 	evacuations  *evacuations
 	credits      *credits
@@ -123,6 +124,8 @@
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
 	n.peerClient = &http.Client{Transport: dialer.Transport("")}
+	n.hearing = newHearing(n.self(), s.MaxPropagation, n.peerClient)
+	n.members.silent = n.hearing.silent
 	n.credits = newCredits(n.start, n.runID(), quotaBound(s), n.members.list, creditClient{client: n.peerClient, self: n.runID()}, newCreditMetrics(n.registry), n.log)
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
 	n.helperPool = link.NewPool(link.PoolConfig{Dialer: n.newHandoverDialer(), Headers: cfg.Headers})
@@ -191,9 +194,7 @@
 		Seeds:            n.seeds(),
 		Timing:           core.TimingFor(s.MaxPropagation),
 		Name:             s.Name,
-		Unreachable:      n.members.unreachable,
-		OnUnreachable:    n.applyUnreachable,
-		OnSubscriber:     n.markReachable,
+		Unreachable:      n.hearing.silentNames,
 		OnSubscriberLost: n.subscriberLost,
 		OnSourceLost:     n.sourceLost,
 		Log:              n.log,
@@ -273,6 +274,7 @@
 	go n.reportReady(workCtx)
 	go n.reportDroppedLines(workCtx)
 	go n.reportShortages(workCtx)
+	go n.runHearing(workCtx)
 	go n.reportSteering(workCtx)
 	defer n.logWriter.Close()
 	for {
--- a/io/node/peer_check.go
+++ b/io/node/peer_check.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -42,7 +41,7 @@
 // askPeer asks other entries, one after the other, whether they reach an upstream, until
 // one can tell. It returns the name of that entry and whether it does.
 func (n *Node) askPeer(ctx context.Context, upstreamID string) (peer string, reached bool) {
-	helpers := n.members.helpers(time.Now(), upstreamID, anyInstance)
+	helpers := n.members.helpers(upstreamID, anyInstance)
 	for _, in := range helpers[:min(maxAskedPeers, len(helpers))] {
 		check, err := n.postCheck(ctx, in.PeerAddress, upstreamID)
 		if err != nil {
--- a/io/node/ranking.go
+++ b/io/node/ranking.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -43,14 +42,14 @@
 // betterRanked returns the peer addresses at the given ranks of this region that are
 // better than that of this entry. Entries that do not respond have no rank.
 func (m *members) betterRanked(from, to int) []string {
-	now := time.Now()
+	silent := m.silent()
 	var out []string
 	rank := 0
 	for _, in := range m.ranked() {
 		if rank == to || in.Name == m.self.Name {
 			break
 		}
-		if m.isUnreachable(now, in.Name) {
+		if isSilent(silent, in) {
 			continue
 		}
 		if rank >= from {
@@ -61,21 +60,15 @@
 	return out
 }
 
-func (m *members) isUnreachable(now time.Time, name string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.reach.IsUnreachable(now, name)
-}
-
 // backupPeers returns the peer addresses of all other entries that respond, in random order,
 // two of this region for each one of others: the store may refuse a region, but transfers
 // between regions cost more.
 func (m *members) backupPeers() []string {
-	now := time.Now()
+	silent := m.silent()
 	var own, others []string
 	for _, in := range m.listWithHints() {
 		switch {
-		case in.Name == m.self.Name || in.Leaving || m.isUnreachable(now, in.Name):
+		case in.Name == m.self.Name || in.Leaving || isSilent(silent, in):
 		case in.Region == m.self.Region:
 			own = append(own, in.PeerAddress)
 		default:
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -35,7 +35,7 @@
 	// Helpers returns the entries that may serve requests of a host in place of this
 	// one, best first, among those that accepts returns true for. If it is nil, no request is
 	// handed over.
-	Helpers func(now time.Time, host string, accepts func(magnolialedge.Instance) bool) []magnolialedge.Instance
+	Helpers func(host string, accepts func(magnolialedge.Instance) bool) []magnolialedge.Instance
 	// HelperPool holds the connections to these entries.
 	HelperPool *link.Pool
 	// MaxHanded limits the requests in progress that other entries handed to this one;
--- a/io/serve/handover.go
+++ b/io/serve/handover.go
@@ -262,7 +262,7 @@
 // pickHelper returns the entry to which a request with the given restrictions is handed, and
 // false if there is none at present. hasHelpers tells whether there are any at all.
 func (f *Forwarder) pickHelper(x *exchange, regions []string) (helper magnolialedge.Instance, ok, hasHelpers bool) {
-	ranked := f.cfg.Helpers(time.Now(), x.req.Host, mayBeHandedTo(regions))
+	ranked := f.cfg.Helpers(x.req.Host, mayBeHandedTo(regions))
 	names := make([]string, 0, len(ranked))
 	byName := map[string]magnolialedge.Instance{}
 	for _, in := range ranked {
--- a/io/soak/silent_test.go
+++ b/io/soak/silent_test.go
@@ -17,13 +17,8 @@
 	platform "magnolialedge/platform/stand"
 )
 
-const (
-	// silenceTime is how long an entry is silent. A lease that was renewed just before ends
-	// within it.
-	silenceTime = 8 * time.Second
-	// returnTime is how long a paused entry may take to be named again.
-	returnTime = 2 * time.Second
-)
+// silenceTime is how long an entry is silent. A lease that was renewed just before ends within it.
+const silenceTime = 8 * time.Second
 
 // besideSilence does something to the other entries, or to the store, while one entry is
 // silent.
