Tell entries that start which requests are quarantined

Callers saw: nothing in the record; found while the cause of the incident was looked for elsewhere. A request that crashes upstreams is reported to all entries once. One that starts a second later knew nothing and sent it to further upstreams, so that stops in turn let it crash more of them each time. Cause: a belief that is told once, to those that run at that moment. Evidence: TestEntryThatStartsKnowsQuarantinedRequests failed before (the started entry does not refuse it). Result: the test passes; no crash of a further upstream.

--- a/core/proc/quarantine.go
+++ b/core/proc/quarantine.go
@@ -59,6 +59,38 @@
 	return true
 }
 
+// Quarantined is a fingerprint whose requests are refused.
+type Quarantined struct {
+	Fingerprint uint64
+	Losses      int
+	// Remaining is how much longer it is remembered.
+	Remaining time.Duration
+}
+
+// Quarantined returns all fingerprints whose requests are refused.
+func (q *Quarantine) Quarantined(now time.Time) []Quarantined {
+	var out []Quarantined
+	for f := range q.suspects {
+		if remaining, refused := q.Remaining(now, f); refused {
+			out = append(out, Quarantined{Fingerprint: f, Losses: q.Losses(now, f), Remaining: remaining})
+		}
+	}
+	return out
+}
+
+// Adopt records what another entry knows of a fingerprint, unless as much is known, and reports whether
+// it did. It is remembered for no longer than there, so that entries which start in turn do not pass it
+// on without end.
+func (q *Quarantine) Adopt(now time.Time, known Quarantined) bool {
+	if !q.RecordPeerLosses(now, known.Fingerprint, known.Losses) {
+		return false
+	}
+	s := q.suspects[known.Fingerprint]
+	s.expiresAt = now.Add(min(QuarantineTTL, known.Remaining))
+	q.suspects[known.Fingerprint] = s
+	return true
+}
+
 // Remaining returns how much longer the fingerprint is remembered, and whether
 // the request is refused.
 func (q *Quarantine) Remaining(now time.Time, fingerprint uint64) (time.Duration, bool) {
--- a/core/proc/quarantine_test.go
+++ b/core/proc/quarantine_test.go
@@ -43,3 +43,24 @@
 	}
 	require.Len(t, q.succeeded.recent, maxSucceeded)
 }
+
+// Guards against a quarantine that entries which start in turn pass on to each other without end.
+func TestAdoptedQuarantineEndsWithTheOneThatWasTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := NewQuarantine()
+	q.RecordLoss(now, 7)
+	require.Empty(t, q.Quarantined(now))
+	q.RecordLoss(now, 7)
+	q.RecordLoss(now, 8)
+	later := now.Add(20 * time.Second)
+	known := q.Quarantined(later)
+	require.Equal(t, []Quarantined{{Fingerprint: 7, Losses: 2, Remaining: QuarantineTTL - 20*time.Second}}, known)
+	other := NewQuarantine()
+	require.True(t, other.Adopt(later, known[0]))
+	require.False(t, other.Adopt(later, known[0]))
+	require.True(t, quarantined(other, later, 7))
+	require.False(t, quarantined(other, now.Add(QuarantineTTL), 7))
+	executed := NewQuarantine()
+	executed.RecordSuccess(later, 7)
+	require.False(t, executed.Adopt(later, known[0]), "an upstream has executed it here")
+}
--- a/io/event/catalogue.go
+++ b/io/event/catalogue.go
@@ -75,6 +75,7 @@
 	AdmissionLevel          = Event{3140, "admissionLevel", Warning, "The capacity of a service is short: requests of the named priorities, and less urgent ones, are refused at once if they could not be served within the time that they may wait."}
 	AdmissionEnded          = Event{3141, "admissionEnded", Info, "Requests of a service are no longer refused because of their priority."}
 	StartedTogether         = Event{3142, "startedTogether", Info, "Most entries started together with this one; for some seconds, requests wait only as long as they can meet their latency target."}
+	QuarantineAdopted       = Event{3143, "quarantineAdopted", Info, "This entry, which has just started, learned from another one that a request crashed upstreams; it is refused."}
 	KeyTableFull            = Event{4001, "keyTableFull", Failure, "The key table is full; new keys are refused."}
 	HandedOver              = Event{4002, "handedOver", Info, "The key table was handed over to a peer."}
 	HandoverFailed          = Event{4003, "handoverFailed", Failure, "No peer accepted the key table; resent requests with its keys get the outcome unknown."}
@@ -100,7 +101,7 @@
 		UpstreamsLost, UpstreamsReturning, IsolationChanged, HandoverLost, HandoverInvalid, UpstreamCold, UpstreamColdEnded,
 		AccountsReplaced, AccountKeyConflict, HandoverRefused, HelperUnreachable, PeerCheckFailed,
 		QuotaExhausted, QuotaOwnerChanged, QuotaOwnerUnreachable, CreditMessageInvalid,
-		AdmissionLevel, AdmissionEnded, StartedTogether, KeyTableFull, HandedOver,
+		AdmissionLevel, AdmissionEnded, StartedTogether, QuarantineAdopted, KeyTableFull, HandedOver,
 		HandoverFailed, Adopted, PeerForbidden, OperatorForbidden,
 		RequestPanicked,
 	}
--- a/io/node/cutoff_test.go
+++ b/io/node/cutoff_test.go
@@ -241,9 +241,9 @@
 	}
 }
 
-// Guards against a request that crashes each upstream that runs it being sent to one
-// after the other.
-func TestRequestThatCrashesUpstreamsIsQuarantinedEverywhere(t *testing.T) {
+// newFragileCluster returns a testCluster of two entries and six upstreams that the requests to
+// /reads/poison crash.
+func newFragileCluster(t *testing.T) (*testCluster, []*stand.Upstream) {
 	tc := newTestCluster(t)
 	var fragile []*stand.Upstream
 	for i := range 6 {
@@ -257,15 +257,42 @@
 	}
 	tc.addEntry("e2", "127.0.0.2")
 	time.Sleep(500 * time.Millisecond)
-	isQuarantinedAt := func(e *testEntry) bool {
-		resp, err := sendTo(t.Context(), http.DefaultClient, e.settings.CallerAddress, "GET", "/reads/poison", "", tc.nextID())
-		return err == nil && resp.status == http.StatusServiceUnavailable && strings.Contains(resp.body, "quarantined")
-	}
-	require.Eventually(t, func() bool { return isQuarantinedAt(tc.entries[0]) }, 3*time.Second, 100*time.Millisecond)
-	require.Eventually(t, func() bool { return isQuarantinedAt(tc.entries[1]) }, time.Second, 100*time.Millisecond)
-	crashed := 0
-	for _, u := range fragile {
-		crashed += min(1, len(u.Arrivals()))
+	return tc, fragile
+}
+
+// refusesPoison sends a request that crashes upstreams to an entry, and reports whether it is
+// refused as quarantined.
+func (tc *testCluster) refusesPoison(e *testEntry) bool {
+	resp, err := sendTo(tc.t.Context(), http.DefaultClient, e.settings.CallerAddress, "GET", "/reads/poison", "", tc.nextID())
+	return err == nil && resp.status == http.StatusServiceUnavailable && strings.Contains(resp.body, "quarantined")
+}
+
+// reachedCount returns the number of upstreams that a request has reached.
+func reachedCount(upstreams []*stand.Upstream) int {
+	n := 0
+	for _, u := range upstreams {
+		n += min(1, len(u.Arrivals()))
 	}
-	require.LessOrEqual(t, crashed, 3)
+	return n
+}
+
+// Guards against a request that crashes each upstream that runs it being sent to one
+// after the other.
+func TestRequestThatCrashesUpstreamsIsQuarantinedEverywhere(t *testing.T) {
+	tc, fragile := newFragileCluster(t)
+	require.Eventually(t, func() bool { return tc.refusesPoison(tc.entries[0]) }, 3*time.Second, 100*time.Millisecond)
+	require.Eventually(t, func() bool { return tc.refusesPoison(tc.entries[1]) }, time.Second, 100*time.Millisecond)
+	require.LessOrEqual(t, reachedCount(fragile), 3)
+}
+
+// Guards against a request that crashes further upstreams at each entry that starts after the others have
+// been told that it is quarantined.
+func TestEntryThatStartsKnowsQuarantinedRequests(t *testing.T) {
+	tc, fragile := newFragileCluster(t)
+	require.Eventually(t, func() bool { return tc.refusesPoison(tc.entries[0]) }, 3*time.Second, 100*time.Millisecond)
+	before := reachedCount(fragile)
+	started := tc.addEntry("e3", "127.0.0.3")
+	time.Sleep(500 * time.Millisecond)
+	require.True(t, tc.refusesPoison(started))
+	require.Equal(t, before, reachedCount(fragile))
 }
--- a/io/node/handlers.go
+++ b/io/node/handlers.go
@@ -58,6 +58,7 @@
 		n.forwarder.RecordCrashReport(report.Fingerprint, report.Losses)
 		return c.NoContent(http.StatusNoContent)
 	})
+	e.GET(crashReportPath, n.handleQuarantined)
 	e.POST(peerCheckPath, n.handlePeerCheck)
 	e.GET(hearingPath, n.handleHearing)
 	e.GET(handoverPath, n.acceptHandovers)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -275,6 +275,7 @@
 	go n.reportDroppedLines(workCtx)
 	go n.reportShortages(workCtx)
 	go n.runHearing(workCtx)
+	go n.adoptQuarantined(workCtx)
 	go n.reportSteering(workCtx)
 	defer n.logWriter.Close()
 	for {
--- a/io/serve/forwarder.go
+++ b/io/serve/forwarder.go
@@ -254,6 +254,21 @@
 	f.quarantine.RecordPeerLosses(time.Now(), fingerprint, losses)
 }
 
+// Quarantined returns the requests that are refused because they crashed upstreams.
+func (f *Forwarder) Quarantined() []proc.Quarantined {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quarantine.Quarantined(time.Now())
+}
+
+// AdoptQuarantined applies what another entry knows of a request that crashed upstreams, and
+// reports whether it was news.
+func (f *Forwarder) AdoptQuarantined(known proc.Quarantined) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.quarantine.Adopt(time.Now(), known)
+}
+
 // Handle implements front.Handler.
 func (f *Forwarder) Handle(ctx context.Context, r *front.Request) *front.Response {
 	x := f.newExchange(r)
