Name only entries that were heard at the start, and hear others with fewer bytes

Callers saw: in one of 772 responses (TestSilentEntryIsNotNamed, paused while others stop in turn), an entry that had just started named the silent one before any other entry had responded to it. Cause: until the first responses arrive, an entry knows only the list of the store. Change: until two others have responded, or have had the time of one request to do so, it names only entries that were heard. A request to another region gets the evidence of that region only, and fewer are sent; a transport of their own keeps few connections and small buffers, as memory had risen by 2 MB an entry. Ruled out: holding resolve responses back.

--- a/core/alive/peers.go
+++ b/core/alive/peers.go
@@ -12,16 +12,22 @@
 
 const (
 	// An entry is also asked directly once its evidence is older than this fraction of its
-	// bound, so that its own silence is seen before it is left out.
-	dueShare = 0.5
+	// bound, so that its own silence is seen before it is left out. Evidence of other places is
+	// older from the start.
+	dueNearShare = 0.5
+	dueFarShare  = 0.7
 	// retryIntervals is the number of rounds between two requests to the same entry for that.
 	retryIntervals = 2
-	// maxDueNear and maxDueFar limit these requests in a round.
-	maxDueNear = 8
-	maxDueFar  = 2
-	// farPerRound is the number of requests in a round from all entries of a place to other
-	// places, and silentPerRound the number to entries that are silent.
-	farPerRound    = 2.0
+	// maxDueNear and maxDueFar limit these requests in a round, and maxDueStart those of an
+	// entry that has just started: the first responses tell of most others.
+	maxDueNear  = 8
+	maxDueFar   = 2
+	maxDueStart = 3
+	// regionPerRound and farPerRound are the numbers of requests in a round from all entries of a
+	// place to other places of the region and to other regions, and silentPerRound that to
+	// entries that are silent.
+	regionPerRound = 1.0
+	farPerRound    = 1.0
 	silentPerRound = 1.0
 )
 
@@ -49,8 +55,11 @@
 		add(r)
 	}
 	add(t.neighbor())
+	if t.isTurn(regionPerRound) {
+		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isUsableFar() && r.Region == t.cfg.Self.Region })))
+	}
 	if t.isTurn(farPerRound) {
-		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return !r.isNear && !r.isSilent && !r.isDoubtful() })))
+		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isUsableFar() && r.Region != t.cfg.Self.Region })))
 	}
 	if t.isTurn(silentPerRound) {
 		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isSilent })))
@@ -61,18 +70,23 @@
 	return slices.Collect(maps.Values(chosen))
 }
 
-// indirect returns the request by which an entry of another place, if there is one, asks an entry of
-// this place that does not respond to this one: only the links within the place may be at fault.
+// indirect returns the request by which an entry of another region, if there is one, asks an entry
+// of this place that does not respond to this one: only the links within the region may be at fault.
 func (t *Table) indirect(now time.Time) (Request, bool) {
 	isDoubtful := func(r *record) bool { return r.isNear && !r.isSilent && r.isDoubtful() && t.isDue(now, r) }
 	doubtful := t.oldestOfTwo(t.candidates(isDoubtful))
-	helper := t.oldestOfTwo(t.candidates(func(r *record) bool { return !r.isNear && !r.isSilent && !r.isDoubtful() }))
+	helper := t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isUsableFar() && r.Region != t.cfg.Self.Region }))
 	if doubtful == nil || helper == nil {
 		return Request{}, false
 	}
 	return Request{To: helper.Instance, About: doubtful.Name}, true
 }
 
+// isUsableFar reports whether an entry of another place probably responds.
+func (r *record) isUsableFar() bool {
+	return !r.isNear && !r.isSilent && !r.isDoubtful()
+}
+
 // neighbor returns the entry of this place whose turn it is, or nil.
 func (t *Table) neighbor() *record {
 	var before, after []*record
@@ -95,6 +109,10 @@
 
 // isDue reports whether the evidence of an entry is so old that it should be asked directly.
 func (t *Table) isDue(now time.Time, r *record) bool {
+	dueShare := dueFarShare
+	if r.isNear {
+		dueShare = dueNearShare
+	}
 	return r.isAssumed || float64(now.Sub(r.at)) > dueShare*float64(t.bound(r))
 }
 
@@ -104,11 +122,15 @@
 		return t.isDue(now, r) && !r.isSilent && now.Sub(r.triedAt) >= retryIntervals*t.cfg.Timing.Interval
 	})
 	slices.SortFunc(all, func(a, b *record) int { return cmp.Or(a.triedAt.Compare(b.triedAt), a.at.Compare(b.at)) })
+	maxNear := maxDueNear
+	if t.isStarting(now) {
+		maxNear = maxDueStart
+	}
 	var out []*record
 	near, far := 0, 0
 	for _, r := range all {
 		switch {
-		case r.isNear && near < maxDueNear:
+		case r.isNear && near < maxNear:
 			near++
 			out = append(out, r)
 		case !r.isNear && far < maxDueFar:
@@ -151,5 +173,11 @@
 // isTurn returns true in so many rounds that it is true perRound times in a round of all entries
 // of this place.
 func (t *Table) isTurn(perRound float64) bool {
-	return float64(t.cfg.Random(turnUnits))*float64(len(t.near)+1) < perRound*turnUnits
+	asking := 1
+	for _, r := range t.near {
+		if !r.isSilent && !r.isDoubtful() {
+			asking++
+		}
+	}
+	return float64(t.cfg.Random(turnUnits))*float64(asking) < perRound*turnUnits
 }
--- a/core/alive/random_test.go
+++ b/core/alive/random_test.go
@@ -98,12 +98,25 @@
 		return table
 	}
 	x := known("x")
-	x.Merge(now, now, known("off").Digest(now))
+	x.Merge(now, now, known("off").Digest(now, "", ""))
 	now = now.Add(3 * time.Second)
 	started := known("z")
 	require.Empty(t, started.Silent(now))
-	started.Merge(now, now, x.Digest(now))
-	started.Merge(now, now, known("y").Digest(now))
+	mayName := func(table *Table, at time.Time) []string {
+		var out []string
+		for _, in := range entries {
+			if table.MayName(at, in.Name) {
+				out = append(out, in.Name)
+			}
+		}
+		return out
+	}
+	require.Empty(t, mayName(started, now), "it knows nothing yet")
+	require.Len(t, mayName(started, now.Add(time.Second)), len(entries), "nobody responds")
+	started.Merge(now, now, x.Digest(now, "", ""))
+	require.Equal(t, []string{"x"}, mayName(started, now))
+	started.Merge(now, now, known("y").Digest(now, "", ""))
+	require.Equal(t, []string{"x", "y", "z"}, mayName(started, now))
 	require.Contains(t, started.Silent(now), "off")
 	require.Len(t, started.Silent(now), 1)
 }
--- a/core/alive/table.go
+++ b/core/alive/table.go
@@ -55,7 +55,9 @@
 	// responses counts the responses. It is used until this entry has been detached once.
 	responses   int
 	wasDetached bool
-	round       int
+	// listedAt is when other entries were first listed.
+	listedAt time.Time
+	round    int
 }
 
 // record is what is known of one entry.
@@ -99,6 +101,9 @@
 		names[in.Name] = true
 		t.setEntry(now, in, isNear(in))
 	}
+	if t.listedAt.IsZero() && len(names) > 0 {
+		t.listedAt = now
+	}
 	t.near = t.near[:0]
 	for name, r := range t.records {
 		switch {
@@ -217,12 +222,16 @@
 	return r.failedAt.After(r.at)
 }
 
-// Digest returns the evidence of all entries, and of this one.
-func (t *Table) Digest(now time.Time) []byte {
+// Digest returns the evidence of all entries, and of this one, for the entry that asks. One of
+// another place and region gets that of this region only, because it asks entries of each region,
+// unless it asks about an entry.
+func (t *Table) Digest(now time.Time, from, about string) []byte {
+	asking := t.records[from]
+	ownOnly := about == "" && asking != nil && !asking.isNear && asking.Region != t.cfg.Self.Region
 	digest := make([]byte, 0, evidenceBytes*(len(t.records)+1))
 	digest = appendEvidence(digest, runKey(t.cfg.Self), 0)
 	for _, r := range t.records {
-		if !r.isAssumed {
+		if !r.isAssumed && (!ownOnly || r.Region == t.cfg.Self.Region) {
 			digest = appendEvidence(digest, r.key, now.Sub(r.at))
 		}
 	}
@@ -275,9 +284,35 @@
 
 // Silent returns the serving entries that are silent, by name, as of the last judgement.
 func (t *Table) Silent(now time.Time) map[string]State {
+	return t.collect(now, func(r *record) bool { return r.isSilent })
+}
+
+// MayName reports whether resolve responses may name an entry: one that is not silent, and that was
+// heard within its bound as long as this entry has just started and does not know enough to judge.
+func (t *Table) MayName(now time.Time, name string) bool {
+	r := t.records[name]
+	switch {
+	case t.isStarting(now):
+		return r != nil && !r.isAssumed && !t.isOverdue(now, r)
+	case r == nil:
+		return true
+	}
+	return !r.isSilent
+}
+
+// isStarting reports whether others have not responded yet and have not had the time to do so.
+func (t *Table) isStarting(now time.Time) bool {
+	if t.wasDetached || t.responses >= startResponses {
+		return false
+	}
+	return t.listedAt.IsZero() || now.Sub(t.listedAt) <= t.cfg.Timing.Timeout
+}
+
+// collect returns the serving entries that match, by name, or nil if there are none.
+func (t *Table) collect(now time.Time, match func(*record) bool) map[string]State {
 	var out map[string]State
 	for name, r := range t.records {
-		if !r.isSilent || !r.isServing() {
+		if !r.isServing() || !match(r) {
 			continue
 		}
 		if out == nil {
--- a/io/node/hearing.go
+++ b/io/node/hearing.go
@@ -19,6 +19,7 @@
 	"magnolialedge"
 	"magnolialedge/core/alive"
 	core "magnolialedge/core/mirror"
+	"magnolialedge/io/conn"
 	"magnolialedge/io/event"
 	"magnolialedge/io/pause"
 )
@@ -31,6 +32,9 @@
 	aboutParam = "about"
 	// maxDigestBytes limits the size of a response.
 	maxDigestBytes = 64 << 10
+	// hearingIdleTimeout is longer than the time after which the same neighbor is asked again.
+	hearingIdleTimeout = 3 * time.Second
+	hearingBufferBytes = 1 << 10
 	// hearingJitter is the fraction of an interval by which a round may begin earlier or later.
 	hearingJitter = 0.1
 	// hearingStartPoll is the interval of rounds until other entries are listed.
@@ -55,6 +59,16 @@
 	evidenceAge prometheus.Histogram
 }
 
+// hearingTransport returns the transport for requests to other entries. Few entries are asked
+// often, and the messages are small.
+func hearingTransport(dialer *conn.Dialer) *http.Transport {
+	transport := dialer.Transport("")
+	transport.MaxIdleConnsPerHost = 1
+	transport.IdleConnTimeout = hearingIdleTimeout
+	transport.ReadBufferSize, transport.WriteBufferSize = hearingBufferBytes, hearingBufferBytes
+	return transport
+}
+
 func newHearing(self magnolialedge.Instance, bound time.Duration, client *http.Client) *hearing {
 	if bound <= 0 {
 		bound = core.DefaultPropagation
@@ -80,6 +94,14 @@
 	return h.table.Silent(bootTime())
 }
 
+// nameable returns those of the entries that resolve responses may name.
+func (h *hearing) nameable(entries []magnolialedge.Instance) []magnolialedge.Instance {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := bootTime()
+	return slices.DeleteFunc(entries, func(in magnolialedge.Instance) bool { return in.Name != h.self && !h.table.MayName(now, in.Name) })
+}
+
 // silentNames returns the names of the silent entries in order.
 func (h *hearing) silentNames() []string {
 	return slices.Sorted(maps.Keys(h.silent()))
@@ -170,10 +192,10 @@
 }
 
 // digest returns the response to another entry, and whether that one counts as silent here.
-func (h *hearing) digest(from string) (digest []byte, isSilent bool) {
+func (h *hearing) digest(from, about string) (digest []byte, isSilent bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.Digest(bootTime()), h.table.IsSilent(from)
+	return h.table.Digest(bootTime(), from, about), h.table.IsSilent(from)
 }
 
 // runHearing asks other entries whom they have heard until ctx is done.
@@ -200,17 +222,19 @@
 // at once, because its request alone does not show when it was written.
 func (n *Node) handleHearing(c echo.Context) error {
 	timeout := time.Duration(aboutTimeoutShare * float64(n.hearing.timing.Timeout))
-	if in, ok := n.findEntry(c.QueryParam(aboutParam)); ok {
+	about := c.QueryParam(aboutParam)
+	if in, ok := n.findEntry(about); ok {
 		n.askEntry(c.Request().Context(), alive.Request{To: in}, timeout)
 	}
 	from := c.QueryParam(fromParam)
-	digest, isSilent := n.hearing.digest(from)
+	digest, isSilent := n.hearing.digest(from, about)
 	if in, ok := n.findEntry(from); ok && isSilent {
 		go n.askEntry(context.WithoutCancel(c.Request().Context()), alive.Request{To: in}, n.hearing.timing.Timeout)
 	}
 	header := c.Response().Header()
-	header["Date"] = nil
-	return c.Blob(http.StatusOK, "", digest)
+	header["Date"], header["Content-Type"] = nil, nil
+	_, err := c.Response().Write(digest)
+	return err
 }
 
 // findEntry returns a live entry by its name, or false.
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -14,6 +14,10 @@
 	"magnolialedge/core/proc"
 )
 
+func noEntries() map[string]alive.State { return nil }
+
+func allEntries(all []magnolialedge.Instance) []magnolialedge.Instance { return all }
+
 // membersPrefix is the prefix of the store keys under which entries are listed.
 const membersPrefix = "members/"
 
@@ -39,6 +43,8 @@
 	endedRuns map[string]int64
 	// silent returns the entries that have been silent for too long.
 	silent func() map[string]alive.State
+	// nameable returns those of the given entries that resolve responses may name.
+	nameable func([]magnolialedge.Instance) []magnolialedge.Instance
 	// delisted is set when the store no longer lists this entry.
 	delisted bool
 	// restored is set when the store was restored from a copy, and ownItem is this
@@ -48,7 +54,7 @@
 }
 
 func newMembers(self magnolialedge.Instance) *members {
-	return &members{self: self, byName: map[string]magnolialedge.Instance{}, selfReported: map[string]magnolialedge.Instance{}, endedRuns: map[string]int64{}, silent: func() map[string]alive.State { return nil }}
+	return &members{self: self, byName: map[string]magnolialedge.Instance{}, selfReported: map[string]magnolialedge.Instance{}, endedRuns: map[string]int64{}, silent: noEntries, nameable: allEntries}
 }
 
 // applyItem applies a change of the store if it concerns an entry, and reports
@@ -288,10 +294,10 @@
 }
 
 // steered returns the entries that clients of a host at a place should use. regions lists the
-// only regions in which the host's requests may be served, or is nil. Silent entries are left
-// out, unless there are no others.
+// only regions in which the host's requests may be served, or is nil. Entries that
+// were not heard are left out, unless there are no others.
 func (m *members) steered(host string, place proc.Place, regions []string) []magnolialedge.Instance {
-	live, count := proc.SteerAllowed(m.responding(), place, host, 0, regions)
+	live, count := proc.SteerAllowed(m.nameable(m.list()), place, host, 0, regions)
 	if count == 0 {
 		live, count = proc.SteerAllowed(m.list(), place, host, 0, regions)
 	}
--- a/io/node/members_test.go
+++ b/io/node/members_test.go
@@ -150,6 +150,9 @@
 		}
 		return out
 	}
+	m.nameable = func(all []magnolialedge.Instance) []magnolialedge.Instance {
+		return slices.DeleteFunc(all, func(in magnolialedge.Instance) bool { return slices.Contains(names, in.Name) })
+	}
 }
 
 // Load pattern: an entry loses power without any sign. Callers of each region
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -124,8 +124,8 @@
 	n.quotas = &quotaSharer{members: n.members, regions: s.Regions, start: n.start}
 	dialer := conn.NewDialer(conn.DialerConfig{})
 	n.peerClient = &http.Client{Transport: dialer.Transport("")}
-	n.hearing = newHearing(n.self(), s.MaxPropagation, n.peerClient)
-	n.members.silent = n.hearing.silent
+	n.hearing = newHearing(n.self(), s.MaxPropagation, &http.Client{Transport: hearingTransport(dialer)})
+	n.members.silent, n.members.nameable = n.hearing.silent, n.hearing.nameable
 	n.credits = newCredits(n.start, n.runID(), quotaBound(s), n.members.list, creditClient{client: n.peerClient, self: n.runID()}, newCreditMetrics(n.registry), n.log)
 	n.pool = link.NewPool(link.PoolConfig{Dialer: upstreamDialer(cfg, dialer), Headers: cfg.Headers})
 	n.helperPool = link.NewPool(link.PoolConfig{Dialer: n.newHandoverDialer(), Headers: cfg.Headers})
--- a/io/soak/silent.go
+++ b/io/soak/silent.go
@@ -27,7 +27,16 @@
 // pauseProcess stops the process of an entry: the kernel still accepts its connections.
 func pauseProcess(e *entry) (func() error, error) {
 	e.process().signal(syscall.SIGSTOP)
-	return func() error { e.process().signal(syscall.SIGCONT); return nil }, nil
+	return func() error {
+		e.process().signal(syscall.SIGCONT)
+		return nil
+	}, nil
+}
+
+// killProcess kills an entry, whose ports then refuse connections.
+func killProcess(e *entry) (func() error, error) {
+	e.stop(syscall.SIGKILL)
+	return e.start, nil
 }
 
 // powerOff kills an entry and makes its ports take no connection, as if it had no power. The
--- a/io/soak/silent_test.go
+++ b/io/soak/silent_test.go
@@ -17,8 +17,13 @@
 	platform "magnolialedge/platform/stand"
 )
 
-// silenceTime is how long an entry is silent. A lease that was renewed just before ends within it.
-const silenceTime = 8 * time.Second
+const (
+	// silenceTime is how long an entry is silent. A lease that was renewed just before ends
+	// within it.
+	silenceTime = 8 * time.Second
+	// returnTime is the time after which an entry must be named again that responds again.
+	returnTime = time.Second
+)
 
 // besideSilence does something to the other entries, or to the store, while one entry is
 // silent.
@@ -95,6 +100,7 @@
 		{"without power, others of the region are killed", powerOff, killHalf},
 		{"without power, all others are killed", powerOff, killAll},
 		{"without power, the store is away", powerOff, loseStore},
+		{"killed, all others are killed", killProcess, killAll},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -121,7 +127,7 @@
 			require.Greater(t, counts.responses, 100)
 			require.Empty(t, counts.late)
 			require.Empty(t, counts.leftOut)
-			require.Eventually(t, func() bool { return cl.isNamedEverywhere(silent) }, silenceTime, pollInterval)
+			require.Eventually(t, func() bool { return cl.isNamedEverywhere(silent) }, returnTime, pollInterval/4)
 		})
 	}
 }
@@ -164,12 +170,12 @@
 	return after[:min(len(after), len("2006-01-02T15:04:05.000000"))]
 }
 
-// isNamedEverywhere reports whether no entry leaves out the given one.
+// isNamedEverywhere reports whether all entries name the given one to the callers of its region.
 func (cl *cluster) isNamedEverywhere(e *entry) bool {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{Timeout: pollInterval, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, o := range cl.entries {
-		status, err := o.status(client)
-		if _, leftOut := status.LeftOut[e.settings.Name]; err != nil || leftOut {
+		addresses, err := platform.Resolve(context.Background(), client, o.settings.DirectoryAddress, e.settings.Region)
+		if err != nil || !slices.Contains(addresses, e.settings.CallerAddress) {
 			return false
 		}
 	}
