Read the list of entries only when it changes

Change: rounds read the list when its version has changed, and a request looks its sender up only if that one counts as silent.

--- a/io/node/hearing.go
+++ b/io/node/hearing.go
@@ -37,7 +37,7 @@
 	hearingBufferBytes = 1 << 10
 	// hearingJitter is the fraction of an interval by which a round may begin earlier or later.
 	hearingJitter = 0.1
-	// hearingStartPoll is the interval of rounds until other entries are listed.
+	// hearingStartPoll is the time between two checks until entries are listed.
 	hearingStartPoll = 20 * time.Millisecond
 	// aboutTimeoutShare is the fraction of a request's timeout for which a receiver asks another
 	// entry before it responds.
@@ -127,21 +127,24 @@
 	}
 }
 
+// setEntries sets the live entries.
+func (h *hearing) setEntries(entries []magnolialedge.Instance) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.SetEntries(bootTime(), entries)
+}
+
 // next returns the requests of a new round.
-func (h *hearing) next(entries []magnolialedge.Instance) []alive.Request {
+func (h *hearing) next() []alive.Request {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := bootTime()
-	h.table.SetEntries(now, entries)
 	h.table.Judge(now)
 	return h.table.Next(now)
 }
 
 // interval returns the time until the next round.
-func (h *hearing) interval(requests int) time.Duration {
-	if requests == 0 {
-		return min(hearingStartPoll, h.timing.Interval)
-	}
+func (h *hearing) interval() time.Duration {
 	return time.Duration(float64(h.timing.Interval) * (1 - hearingJitter + 2*hearingJitter*rand.Float64()))
 }
 
@@ -200,12 +203,20 @@
 
 // runHearing asks other entries whom they have heard until ctx is done.
 func (n *Node) runHearing(ctx context.Context) {
+	var known uint64
 	for ctx.Err() == nil {
-		requests := n.hearing.next(n.members.list())
-		for _, request := range requests {
+		if version := n.members.listVersion(); version != known {
+			n.hearing.setEntries(n.members.list())
+			known = version
+		}
+		if known == 0 {
+			pause.Sleep(ctx, hearingStartPoll)
+			continue
+		}
+		for _, request := range n.hearing.next() {
 			go n.askEntry(ctx, request, n.hearing.timing.Timeout)
 		}
-		pause.Sleep(ctx, n.hearing.interval(len(requests)))
+		pause.Sleep(ctx, n.hearing.interval())
 	}
 }
 
@@ -228,8 +239,8 @@
 	}
 	from := c.QueryParam(fromParam)
 	digest, isSilent := n.hearing.digest(from, about)
-	if in, ok := n.findEntry(from); ok && isSilent {
-		go n.askEntry(context.WithoutCancel(c.Request().Context()), alive.Request{To: in}, n.hearing.timing.Timeout)
+	if isSilent {
+		n.askBack(context.WithoutCancel(c.Request().Context()), from)
 	}
 	header := c.Response().Header()
 	header["Date"], header["Content-Type"] = nil, nil
@@ -237,6 +248,13 @@
 	return err
 }
 
+// askBack asks an entry by its name without waiting for the result.
+func (n *Node) askBack(ctx context.Context, name string) {
+	if in, ok := n.findEntry(name); ok {
+		go n.askEntry(ctx, alive.Request{To: in}, n.hearing.timing.Timeout)
+	}
+}
+
 // findEntry returns a live entry by its name, or false.
 func (n *Node) findEntry(name string) (magnolialedge.Instance, bool) {
 	if name == "" {
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -27,6 +27,8 @@
 	mu   sync.Mutex
 	// byName holds the entries that the store lists.
 	byName map[string]magnolialedge.Instance
+	// version counts the changes of what list returns of other entries.
+	version uint64
 	// hints holds the entries found on the first page of the store; it is used
 	// until a complete list is known.
 	hints map[string]magnolialedge.Instance
@@ -67,6 +69,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.hints = nil
+	m.version++
 	in, valid := memberOf(item)
 	if !valid {
 		delete(m.byName, name)
@@ -204,6 +207,7 @@
 		return false
 	}
 	m.endedRuns[report.Name] = report.StartedAt
+	m.version++
 	return true
 }
 
@@ -223,6 +227,7 @@
 	defer m.mu.Unlock()
 	if m.endedRuns[report.Name] == report.StartedAt {
 		delete(m.endedRuns, report.Name)
+		m.version++
 	}
 }
 
@@ -274,9 +279,17 @@
 	defer m.mu.Unlock()
 	if supersedes(in, m.selfReported[in.Name]) {
 		m.selfReported[in.Name] = in
+		m.version++
 	}
 }
 
+// listVersion returns a number that changes with the other entries that list returns.
+func (m *members) listVersion() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
 // latest returns the entry's own report if it supersedes the listed state, or
 // else the listed state.
 func (m *members) latest(listed magnolialedge.Instance) magnolialedge.Instance {
