Ask entries of large fleets for the evidence that is needed

Change: a request says whose evidence it needs: of all, of the place, or of the entry itself. In a place of 16 and more, two neighbors are asked in a round.

--- a/core/alive/peers.go
+++ b/core/alive/peers.go
@@ -23,6 +23,9 @@
 	maxDueNear  = 8
 	maxDueFar   = 2
 	maxDueStart = 3
+	// minDenseRing is the number of others in a place from which two of them are asked in a
+	// round, because the evidence needs more rounds to reach all.
+	minDenseRing = 16
 	// regionPerRound and farPerRound are the numbers of requests in a round from all entries of a
 	// place to other places of the region and to other regions, and silentPerRound that to
 	// entries that are silent.
@@ -37,32 +40,50 @@
 	// About names an entry that does not respond to this one. The receiver asks it, too, before it
 	// responds. It is empty if there is none.
 	About string
+	// Scope is whose evidence the response has.
+	Scope Scope
 }
 
+// Scope is whose evidence a response has.
+type Scope string
+
+const (
+	// ScopeAll is that of all entries, or of the region of an entry in another region.
+	ScopeAll Scope = ""
+	// ScopePlace is that of the place of the entry that is asked.
+	ScopePlace Scope = "place"
+	// ScopeSelf is that of the entry that is asked.
+	ScopeSelf Scope = "self"
+)
+
 // Next returns the requests that this entry sends in this round. Within a place, the distance to
 // the next entry doubles from round to round, so that evidence reaches n entries in about
 // log2(n) rounds.
 func (t *Table) Next(now time.Time) []Request {
 	t.round++
 	chosen := map[string]Request{}
-	add := func(r *record) {
+	add := func(r *record, scope Scope) {
 		if r != nil {
 			r.triedAt = now
-			chosen[r.Name] = Request{To: r.Instance}
+			chosen[r.Name] = Request{To: r.Instance, Scope: scope}
 		}
 	}
 	for _, r := range t.due(now) {
-		add(r)
+		add(r, r.dueScope())
+	}
+	ring := t.ring()
+	if len(ring) >= minDenseRing {
+		add(neighbor(ring, t.round+bits.Len(uint(len(ring)))/2), ScopePlace)
 	}
-	add(t.neighbor())
+	add(neighbor(ring, t.round), ScopeAll)
 	if t.isTurn(regionPerRound) {
-		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isUsableFar() && r.Region == t.cfg.Self.Region })))
+		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isUsableFar() && r.Region == t.cfg.Self.Region })), ScopeAll)
 	}
 	if t.isTurn(farPerRound) {
-		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isUsableFar() && r.Region != t.cfg.Self.Region })))
+		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isUsableFar() && r.Region != t.cfg.Self.Region })), ScopeAll)
 	}
 	if t.isTurn(silentPerRound) {
-		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isSilent })))
+		add(t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isSilent })), ScopeAll)
 	}
 	if request, ok := t.indirect(now); ok {
 		chosen[request.To.Name] = request
@@ -87,8 +108,20 @@
 	return !r.isNear && !r.isSilent && !r.isDoubtful()
 }
 
-// neighbor returns the entry of this place whose turn it is, or nil.
-func (t *Table) neighbor() *record {
+// dueScope returns what a direct request to an entry is for: to hear it, or also its place, or, if nobody
+// was heard yet, all others.
+func (r *record) dueScope() Scope {
+	switch {
+	case r.isAssumed:
+		return ScopeAll
+	case r.isNear:
+		return ScopeSelf
+	}
+	return ScopePlace
+}
+
+// ring returns the entries of this place that probably respond, beginning after this one.
+func (t *Table) ring() []*record {
 	var before, after []*record
 	for i, r := range t.near {
 		switch {
@@ -99,11 +132,15 @@
 			after = append(after, r)
 		}
 	}
-	ring := append(after, before...)
+	return append(after, before...)
+}
+
+// neighbor returns the entry of a ring whose turn it is in a round, or nil.
+func neighbor(ring []*record, round int) *record {
 	if len(ring) == 0 {
 		return nil
 	}
-	distance := 1 << (t.round % bits.Len(uint(len(ring))))
+	distance := 1 << (round % bits.Len(uint(len(ring))))
 	return ring[distance-1]
 }
 
@@ -173,11 +210,6 @@
 // isTurn returns true in so many rounds that it is true perRound times in a round of all entries
 // of this place.
 func (t *Table) isTurn(perRound float64) bool {
-	asking := 1
-	for _, r := range t.near {
-		if !r.isSilent && !r.isDoubtful() {
-			asking++
-		}
-	}
+	asking := 1 + len(t.ring())
 	return float64(t.cfg.Random(turnUnits))*float64(asking) < perRound*turnUnits
 }
--- a/core/alive/random_test.go
+++ b/core/alive/random_test.go
@@ -98,7 +98,7 @@
 		return table
 	}
 	x := known("x")
-	x.Merge(now, now, known("off").Digest(now, "", ""))
+	x.Merge(now, now, known("off").Digest(now, "", Request{}))
 	now = now.Add(3 * time.Second)
 	started := known("z")
 	require.Empty(t, started.Silent(now))
@@ -113,9 +113,9 @@
 	}
 	require.Empty(t, mayName(started, now), "it knows nothing yet")
 	require.Len(t, mayName(started, now.Add(time.Second)), len(entries), "nobody responds")
-	started.Merge(now, now, x.Digest(now, "", ""))
+	started.Merge(now, now, x.Digest(now, "", Request{}))
 	require.Equal(t, []string{"x"}, mayName(started, now))
-	started.Merge(now, now, known("y").Digest(now, "", ""))
+	started.Merge(now, now, known("y").Digest(now, "", Request{}))
 	require.Equal(t, []string{"x", "y", "z"}, mayName(started, now))
 	require.Contains(t, started.Silent(now), "off")
 	require.Len(t, started.Silent(now), 1)
--- a/core/alive/sim_test.go
+++ b/core/alive/sim_test.go
@@ -137,7 +137,7 @@
 // ask simulates one request and its response.
 func (s *sim) ask(from *simEntry, table *Table, request Request) {
 	to := s.entry(request.To.Name)
-	s.send(from, table, to, request.About, func(respond func()) {
+	s.send(from, table, request, func(respond func()) {
 		if to.table.IsSilent(from.Name) {
 			s.ask(to, to.table, Request{To: from.Instance})
 		}
@@ -146,7 +146,7 @@
 			return
 		}
 		about := s.entry(request.About)
-		s.send(to, to.table, about, "", func(f func()) { f() })
+		s.send(to, to.table, Request{To: about.Instance}, func(f func()) { f() })
 		s.at(2*latency(to, about)+time.Millisecond, respond)
 	})
 }
@@ -158,9 +158,9 @@
 	return time.Millisecond
 }
 
-// send simulates a request, about an entry or "", that serve handles at its receiver.
-func (s *sim) send(from *simEntry, table *Table, to *simEntry, about string, serve func(respond func())) {
-	sent := s.clock()
+// send simulates a request that serve handles at its receiver.
+func (s *sim) send(from *simEntry, table *Table, request Request, serve func(respond func())) {
+	to, sent := s.entry(request.To.Name), s.clock()
 	s.requests++
 	done := func(f func(now time.Time)) {
 		s.at(max(0, from.pausedUntil-s.now), func() {
@@ -175,7 +175,7 @@
 			return
 		}
 		serve(func() {
-			digest := to.table.Digest(s.clock(), from.Name, about)
+			digest := to.table.Digest(s.clock(), from.Name, request)
 			s.count(from, to, len(digest))
 			s.at(latency(from, to), func() { done(func(now time.Time) { table.Merge(now, sent, digest) }) })
 		})
--- a/core/alive/table.go
+++ b/core/alive/table.go
@@ -43,6 +43,7 @@
 // concurrent use.
 type Table struct {
 	cfg     Config
+	ownKey  uint32
 	records map[string]*record
 	byKey   map[uint32]*record
 	// near holds the records of the same place that are listed, ordered by comparePlaces.
@@ -79,7 +80,7 @@
 
 // NewTable returns a Table without entries.
 func NewTable(cfg Config) *Table {
-	return &Table{cfg: cfg, records: map[string]*record{}, byKey: map[uint32]*record{}}
+	return &Table{cfg: cfg, ownKey: runKey(cfg.Self), records: map[string]*record{}, byKey: map[uint32]*record{}}
 }
 
 // bound returns how long an entry may be silent.
@@ -222,16 +223,20 @@
 	return r.failedAt.After(r.at)
 }
 
-// Digest returns the evidence of all entries, and of this one, for the entry that asks. One of
-// another place and region gets that of this region only, because it asks entries of each region,
+// Digest returns the evidence of all entries, and of this one, for a request of the given entry. One
+// of another place and region gets that of this region only, because it asks entries of each region,
 // unless it asks about an entry.
-func (t *Table) Digest(now time.Time, from, about string) []byte {
+func (t *Table) Digest(now time.Time, from string, request Request) []byte {
+	digest := appendEvidence(nil, t.ownKey, 0)
+	if request.Scope == ScopeSelf {
+		return digest
+	}
 	asking := t.records[from]
-	ownOnly := about == "" && asking != nil && !asking.isNear && asking.Region != t.cfg.Self.Region
-	digest := make([]byte, 0, evidenceBytes*(len(t.records)+1))
-	digest = appendEvidence(digest, runKey(t.cfg.Self), 0)
+	isElsewhere := asking != nil && !asking.isNear && asking.Region != t.cfg.Self.Region
+	regionOnly := isElsewhere && request.About == ""
 	for _, r := range t.records {
-		if !r.isAssumed && (!ownOnly || r.Region == t.cfg.Self.Region) {
+		isIncluded := !r.isAssumed && (r.isNear || request.Scope != ScopePlace) && (!regionOnly || r.Region == t.cfg.Self.Region)
+		if isIncluded {
 			digest = appendEvidence(digest, r.key, now.Sub(r.at))
 		}
 	}
--- a/core/alive/table_test.go
+++ b/core/alive/table_test.go
@@ -73,7 +73,7 @@
 		// further holds further sizes.
 		further []int
 	}{
-		{"calm", func(s *sim) {}, nil},
+		{"calm", func(s *sim) {}, []int{312}},
 		{"lossy", func(s *sim) { s.loss = 0.1 }, nil},
 		{"one off", func(s *sim) { s.silence(first(s), 20*time.Second, true) }, nil},
 		{"one paused, which returns", func(s *sim) { s.silence(first(s), 5*time.Second, false) }, nil},
--- a/io/node/hearing.go
+++ b/io/node/hearing.go
@@ -28,8 +28,10 @@
 	// hearingPath is the path where an entry tells others whom it has heard, and when.
 	hearingPath = "/v1/heard"
 	// fromParam names the entry that asks, and aboutParam one that does not respond to it.
+	// scopeParam tells whose evidence the response has.
 	fromParam  = "from"
 	aboutParam = "about"
+	scopeParam = "scope"
 	// maxDigestBytes limits the size of a response.
 	maxDigestBytes = 64 << 10
 	// hearingIdleTimeout is longer than the time after which the same neighbor is asked again.
@@ -173,6 +175,9 @@
 	if request.About != "" {
 		query.Set(aboutParam, request.About)
 	}
+	if request.Scope != alive.ScopeAll {
+		query.Set(scopeParam, string(request.Scope))
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+request.To.PeerAddress+hearingPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, err
@@ -195,10 +200,10 @@
 }
 
 // digest returns the response to another entry, and whether that one counts as silent here.
-func (h *hearing) digest(from, about string) (digest []byte, isSilent bool) {
+func (h *hearing) digest(from string, request alive.Request) (digest []byte, isSilent bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.Digest(bootTime(), from, about), h.table.IsSilent(from)
+	return h.table.Digest(bootTime(), from, request), h.table.IsSilent(from)
 }
 
 // runHearing asks other entries whom they have heard until ctx is done.
@@ -233,12 +238,12 @@
 // at once, because its request alone does not show when it was written.
 func (n *Node) handleHearing(c echo.Context) error {
 	timeout := time.Duration(aboutTimeoutShare * float64(n.hearing.timing.Timeout))
-	about := c.QueryParam(aboutParam)
-	if in, ok := n.findEntry(about); ok {
+	request := alive.Request{About: c.QueryParam(aboutParam), Scope: alive.Scope(c.QueryParam(scopeParam))}
+	if in, ok := n.findEntry(request.About); ok {
 		n.askEntry(c.Request().Context(), alive.Request{To: in}, timeout)
 	}
 	from := c.QueryParam(fromParam)
-	digest, isSilent := n.hearing.digest(from, about)
+	digest, isSilent := n.hearing.digest(from, request)
 	if isSilent {
 		n.askBack(context.WithoutCancel(c.Request().Context()), from)
 	}
