--- a/core/alive/peers.go
+++ b/core/alive/peers.go
@@ -94,22 +94,22 @@
 // indirect returns the request by which an entry of another region, if there is one, asks an entry
 // of this place that does not respond to this one: only the links within the region may be at fault.
 func (t *Table) indirect(now time.Time) (Request, bool) {
-	isDoubtful := func(r *record) bool { return r.isNear && !r.isSilent && r.isDoubtful() && t.isDue(now, r) }
-	doubtful := t.oldestOfTwo(t.candidates(isDoubtful))
+	isSuspect := func(r *record) bool { return r.isNear && !r.isSilent && r.isSuspect() && t.isDue(now, r) }
+	suspect := t.oldestOfTwo(t.candidates(isSuspect))
 	helper := t.oldestOfTwo(t.candidates(func(r *record) bool { return r.isUsableFar() && r.Region != t.cfg.Self.Region }))
-	if doubtful == nil || helper == nil {
+	if suspect == nil || helper == nil {
 		return Request{}, false
 	}
-	return Request{To: helper.Instance, About: doubtful.Name}, true
+	return Request{To: helper.Instance, About: suspect.Name}, true
 }
 
 // isUsableFar reports whether an entry of another place probably responds.
 func (r *record) isUsableFar() bool {
-	return !r.isNear && !r.isSilent && !r.isDoubtful()
+	return !r.isNear && !r.isSilent && !r.isSuspect()
 }
 
-// dueScope returns what a direct request to an entry is for: to hear it, or also its place, or, if nobody
-// was heard yet, all others.
+// dueScope returns whose evidence a direct request to an entry is for: its own, that of its place,
+// or that of all others if nobody has heard it yet.
 func (r *record) dueScope() Scope {
 	switch {
 	case r.isAssumed:
@@ -125,7 +125,7 @@
 	var before, after []*record
 	for i, r := range t.near {
 		switch {
-		case r.isSilent || r.isDoubtful():
+		case r.isSilent || r.isSuspect():
 		case i < t.selfIndex:
 			before = append(before, r)
 		default:
--- a/core/alive/random_test.go
+++ b/core/alive/random_test.go
@@ -53,7 +53,7 @@
 				name := draw(t)
 				age := time.Duration(rapid.IntRange(0, 8000).Draw(t, "ageMs")) * time.Millisecond
 				sent := now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "tookMs")) * time.Millisecond)
-				table.Merge(now, sent, appendEvidence(nil, runKey(magnolialedge.Instance{Name: name, StartedAt: runs[name]}), age))
+				table.Merge(now, sent, "", appendEvidence(nil, runKey(magnolialedge.Instance{Name: name, StartedAt: runs[name]}), age))
 				if _, isKnown := table.Entry(now, name); isKnown && sent.Add(-age).After(heard[name]) {
 					heard[name] = sent.Add(-age)
 				}
@@ -98,7 +98,7 @@
 		return table
 	}
 	x := known("x")
-	x.Merge(now, now, known("off").Digest(now, "", Request{}))
+	x.Merge(now, now, "off", known("off").Digest(now, "", Request{}))
 	now = now.Add(3 * time.Second)
 	started := known("z")
 	require.Empty(t, started.Silent(now))
@@ -113,14 +113,31 @@
 	}
 	require.Empty(t, mayName(started, now), "it knows nothing yet")
 	require.Len(t, mayName(started, now.Add(time.Second)), len(entries), "nobody responds")
-	started.Merge(now, now, x.Digest(now, "", Request{}))
+	started.Merge(now, now, "x", x.Digest(now, "", Request{}))
 	require.Equal(t, []string{"x"}, mayName(started, now))
-	started.Merge(now, now, known("y").Digest(now, "", Request{}))
+	started.Merge(now, now, "y", known("y").Digest(now, "", Request{}))
 	require.Equal(t, []string{"x", "y", "z"}, mayName(started, now))
 	require.Contains(t, started.Silent(now), "off")
 	require.Len(t, started.Silent(now), 1)
 }
 
+// Guards against leaving out an entry whose new run the store does not list yet, as in an outage: its
+// program responds at the same address.
+func TestEntryOfAnotherRunThanTheListedOneIsHeard(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	listed := []magnolialedge.Instance{{Name: "x", StartedAt: 1}, {Name: "y"}, {Name: "z"}}
+	timing := TimingFor(2500 * time.Millisecond)
+	table := NewTable(Config{Self: magnolialedge.Instance{Name: "z"}, Timing: timing, Random: func(int) int { return 0 }})
+	table.SetEntries(now, listed)
+	for range 5 * timing.NearBound / timing.Interval {
+		now = now.Add(timing.Interval)
+		table.Judge(now)
+		table.Merge(now, now, "x", appendEvidence(nil, runKey(magnolialedge.Instance{Name: "x", StartedAt: 2}), 0))
+		table.Merge(now, now, "y", appendEvidence(nil, runKey(magnolialedge.Instance{Name: "y"}), 0))
+		require.Empty(t, table.Silent(now))
+	}
+}
+
 // Guards against a digest that the receiver cannot read to its end.
 func FuzzDigest(f *testing.F) {
 	f.Add(appendEvidence(nil, 7, 3*time.Second))
--- a/core/alive/sim_test.go
+++ b/core/alive/sim_test.go
@@ -177,7 +177,7 @@
 		serve(func() {
 			digest := to.table.Digest(s.clock(), from.Name, request)
 			s.count(from, to, len(digest))
-			s.at(latency(from, to), func() { done(func(now time.Time) { table.Merge(now, sent, digest) }) })
+			s.at(latency(from, to), func() { done(func(now time.Time) { table.Merge(now, sent, to.Name, digest) }) })
 		})
 	})
 }
--- a/core/alive/table.go
+++ b/core/alive/table.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// An entry blames no other while it has got no response for connectedIntervals rounds. After
-	// detachedIntervals rounds without one, or pausedIntervals in which it did not run, what it
-	// knows is old: it blames nobody for another settleIntervals rounds with responses.
+	// An entry takes no other for silent while it has got no response for connectedIntervals
+	// rounds. After detachedIntervals rounds without one, or pausedIntervals in which it did not
+	// run, what it knows is old, and it waits for another settleIntervals rounds with responses.
 	connectedIntervals = 3
 	detachedIntervals  = 6
 	pausedIntervals    = 2
@@ -145,7 +145,8 @@
 	delete(t.byKey, r.key)
 }
 
-// Heard records that the program of an entry responded to a request sent at the given time.
+// Heard records that the program of an entry responded without a digest to a request sent at the
+// given time.
 func (t *Table) Heard(now, sent time.Time, name string) {
 	if r := t.records[name]; r != nil {
 		t.merge(now, r, sent)
@@ -154,8 +155,12 @@
 }
 
 // Merge records the digest with which an entry responded to a request sent at the given time. The
-// ages count from the request, because it is not known when the response was written.
-func (t *Table) Merge(now, sent time.Time, digest []byte) {
+// ages count from the request, because it is not known when the response was written. The entry
+// itself was heard also if it is another run than the listed one.
+func (t *Table) Merge(now, sent time.Time, name string, digest []byte) {
+	if r := t.records[name]; r != nil {
+		t.merge(now, r, sent)
+	}
 	rangeEvidence(digest, func(key uint32, age time.Duration) {
 		if r := t.byKey[key]; r != nil {
 			t.merge(now, r, sent.Add(-age))
@@ -206,7 +211,8 @@
 }
 
 // Failed records that an entry did not respond to a request sent at the given time. One that
-// nobody has heard yet is not waited for any longer: this entry may have started after it became silent.
+// nobody has heard yet is not waited for any longer: this entry may have started after it became
+// silent.
 func (t *Table) Failed(now, sent time.Time, name string) {
 	r := t.records[name]
 	if r == nil {
@@ -218,14 +224,14 @@
 	}
 }
 
-// isDoubtful reports whether an entry has not responded to this one since it was last heard.
-func (r *record) isDoubtful() bool {
+// isSuspect reports whether an entry has not responded to this one since it was last heard.
+func (r *record) isSuspect() bool {
 	return r.failedAt.After(r.at)
 }
 
-// Digest returns the evidence of all entries, and of this one, for a request of the given entry. One
-// of another place and region gets that of this region only, because it asks entries of each region,
-// unless it asks about an entry.
+// Digest returns the evidence of all entries, and of this one, for a request of the given entry.
+// One of another place and region gets that of this region only, because it asks entries of each
+// region, unless it asks about an entry.
 func (t *Table) Digest(now time.Time, from string, request Request) []byte {
 	digest := appendEvidence(nil, t.ownKey, 0)
 	if request.Scope == ScopeSelf {
@@ -243,17 +249,17 @@
 	return digest
 }
 
-// Judge decides anew which entries are silent. An entry that was heard within its bound is not. One that
-// was not becomes silent only if this entry may judge; otherwise it stays what it was.
+// Judge decides anew which entries are silent. An entry that was heard within its bound is not.
+// One that was not becomes silent only if this entry may judge; otherwise it stays what it was.
 func (t *Table) Judge(now time.Time) {
 	interval := t.cfg.Timing.Interval
 	if !t.judgedAt.IsZero() && now.Sub(t.judgedAt) > pausedIntervals*interval {
 		t.attach(now)
 	}
 	t.judgedAt = now
-	mayBlame := now.Sub(t.heardAt) <= connectedIntervals*interval && t.isSettled(now) && t.hearsEnough(now)
+	mayJudge := now.Sub(t.heardAt) <= connectedIntervals*interval && t.isSettled(now) && t.hearsEnough(now)
 	for _, r := range t.records {
-		r.isSilent = t.isOverdue(now, r) && (r.isSilent || mayBlame)
+		r.isSilent = t.isOverdue(now, r) && (r.isSilent || mayJudge)
 	}
 }
 
--- a/core/proc/lease.go
+++ b/core/proc/lease.go
@@ -14,8 +14,8 @@
 
 const (
 	// leaseBounds is the lease's duration as a multiple of the bound on the spread
-	// of changes. Until a lease ends, entries that do not respond are recognized
-	// by their neighbors, so that a long lease costs fewer calls and no request.
+	// of changes. Entries that do not respond are left out of resolve responses before
+	// their lease ends, so that a long lease costs fewer calls and no request.
 	leaseBounds = 3
 	// renewShare is the fraction of the lease after which it is renewed. A renewal
 	// that fails can be repeated twice.
--- a/io/node/hearing.go
+++ b/io/node/hearing.go
@@ -71,11 +71,11 @@
 	return transport
 }
 
+// newHearing returns a hearing with a bound on the time for which a silent entry is named. It is that
+// on changes, but no longer than the default one: a slow spread of changes does not make an entry
+// respond that is off.
 func newHearing(self magnolialedge.Instance, bound time.Duration, client *http.Client) *hearing {
-	if bound <= 0 {
-		bound = core.DefaultPropagation
-	}
-	timing := alive.TimingFor(bound)
+	timing := alive.TimingFor(min(bound, core.DefaultPropagation))
 	return &hearing{
 		self:   self.Name,
 		timing: timing,
@@ -158,7 +158,7 @@
 	defer h.mu.Unlock()
 	switch {
 	case err == nil:
-		h.table.Merge(bootTime(), sent, digest)
+		h.table.Merge(bootTime(), sent, request.To.Name, digest)
 	case errors.Is(err, errNoDigest):
 		h.table.Heard(bootTime(), sent, request.To.Name)
 		return nil
--- a/io/soak/silent.go
+++ b/io/soak/silent.go
@@ -43,7 +43,7 @@
 // ports are taken before the others check why their connections broke.
 func powerOff(e *entry) (func() error, error) {
 	e.stop(syscall.SIGKILL)
-	var ports []*deafPort
+	var ports []*hangingPort
 	release := func() error {
 		for _, p := range ports {
 			p.close()
@@ -51,7 +51,7 @@
 		return e.start()
 	}
 	for n := range entryPorts {
-		p, err := listenDeaf(e.settings.IP, firstPort+n)
+		p, err := listenHanging(e.settings.IP, firstPort+n)
 		if err != nil {
 			return nil, errors.CombineErrors(err, release())
 		}
@@ -65,22 +65,22 @@
 	return release, nil
 }
 
-// deafPort is a port that listens and on which connections hang: its queue is full, and nothing
+// hangingPort is a port that listens and on which connections hang: its queue is full, and nothing
 // accepts from it.
-type deafPort struct {
+type hangingPort struct {
 	address string
 	fd      int
 	filling net.Conn
 }
 
-// listenDeaf listens without a backlog: the kernel completes one connection and drops the
+// listenHanging listens without a backlog: the kernel completes one connection and drops the
 // packets of further ones.
-func listenDeaf(ip string, port int) (*deafPort, error) {
+func listenHanging(ip string, port int) (*hangingPort, error) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, errors.Wrap(err, "occupy port")
 	}
-	p := &deafPort{address: net.JoinHostPort(ip, strconv.Itoa(port)), fd: fd}
+	p := &hangingPort{address: net.JoinHostPort(ip, strconv.Itoa(port)), fd: fd}
 	err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
 	err = errors.CombineErrors(err, syscall.Bind(fd, &syscall.SockaddrInet4{Port: port, Addr: [4]byte(net.ParseIP(ip).To4())}))
 	err = errors.CombineErrors(err, syscall.Listen(fd, 0))
@@ -92,13 +92,13 @@
 }
 
 // fill opens the one connection that the kernel completes.
-func (p *deafPort) fill() error {
+func (p *hangingPort) fill() error {
 	var err error
 	p.filling, err = net.DialTimeout("tcp", p.address, pollInterval)
 	return errors.Wrap(err, "occupy port")
 }
 
-func (p *deafPort) close() {
+func (p *hangingPort) close() {
 	if p.filling != nil {
 		_ = p.filling.Close()
 	}
