Cut the power of entries in the random soak

Cause: the soak killed and paused entries, but none kept its ports without taking a connection, as a machine without power does. Change: the way in which TestSilentEntryIsNotNamed silences an entry is also a fault of the soak; a port whose queue another entry has filled already counts as filled.

--- a/io/soak/fault.go
+++ b/io/soak/fault.go
@@ -23,6 +23,7 @@
 var faults = []fault{
 	{"pause an entry", pauseEntry},
 	{"kill an entry", killEntry},
+	{"cut the power of an entry", powerOffEntry},
 	{"stop an entry", stopEntry},
 	{"send SIGHUP to an entry", hangUpEntry},
 	{"disrupt an entry's link to the store", disruptStoreLink},
@@ -75,6 +76,23 @@
 	return e.start()
 }
 
+// powerOffEntry cuts the power of an entry and starts it again after a random time.
+func powerOffEntry(ctx context.Context, cl *cluster, r *rand.Rand) error {
+	e, release, ok := reserve(cl, r, cl.entries)
+	if !ok {
+		return nil
+	}
+	defer release()
+	defer cl.disturbances.begin(e.settings.Name)()
+	restore, err := powerOff(e)
+	if err != nil {
+		return err
+	}
+	pause.Sleep(ctx, 2*randomDuration(r))
+	cl.setRelease(e, ReleaseMixed, r)
+	return restore()
+}
+
 // stopEntry stops an entry gracefully and starts it again.
 func stopEntry(_ context.Context, cl *cluster, r *rand.Rand) error {
 	e, release, ok := reserve(cl, r, cl.entries)
--- a/io/soak/silent.go
+++ b/io/soak/silent.go
@@ -91,10 +91,15 @@
 	return p, nil
 }
 
-// fill opens the one connection that the kernel completes.
+// fill opens the one connection that the kernel completes, unless another entry has opened it
+// already, so that this one hangs.
 func (p *hangingPort) fill() error {
-	var err error
-	p.filling, err = net.DialTimeout("tcp", p.address, pollInterval)
+	c, err := net.DialTimeout("tcp", p.address, pollInterval)
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return nil
+	}
+	p.filling = c
 	return errors.Wrap(err, "occupy port")
 }
 
