Count only responses that ask to back off as such in the soak

Cause: the soak's check took each request during a notice for one whose response asked the entry to back off. Change: the stand-in records whether a response had a notice, and the check begins at those. It is as strict: each response with a notice is checked as before, and all requests after it count.

--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -174,30 +174,34 @@
 	for _, u := range cl.upstreams {
 		arrivals := u.arrivals()
 		for _, s := range u.noticeSpans() {
-			byEntry := map[string][]time.Time{}
+			byEntry := map[string][]platform.Arrival{}
 			for _, a := range arrivals {
 				if name := entries[a.ID]; name != "" && a.At.After(s.from) && a.At.Before(s.to) {
-					byEntry[name] = append(byEntry[name], a.At)
+					byEntry[name] = append(byEntry[name], a)
 				}
 			}
-			for name, times := range byEntry {
-				cl.checkNotice(u, s, name, times)
+			for name, list := range byEntry {
+				cl.checkNotice(u, s, name, list)
 			}
 		}
 	}
 }
 
-// checkNotice checks the requests that one entry sent during a notice, in order.
-func (cl *cluster) checkNotice(u *upstream, s noticeSpan, entry string, times []time.Time) {
-	for i, told := range times {
+// checkNotice checks the requests that one entry sent during a notice, in order. Those whose
+// responses did not have the notice, because they were sent before it, do not tell the entry.
+func (cl *cluster) checkNotice(u *upstream, s noticeSpan, entry string, sent []platform.Arrival) {
+	for i, told := range sent {
+		if !told.IsNotified {
+			continue
+		}
 		n := 0
-		for _, at := range times[i+1:] {
-			if since := at.Sub(told); since > noticeDelay && since < s.wait {
+		for _, a := range sent[i+1:] {
+			if since := a.At.Sub(told.At); since > noticeDelay && since < s.wait {
 				n++
 			}
 		}
-		if n > maxNoticeRequests && cl.disturbances.isUndisturbed(entry, told.Add(-settleTime), s.to) {
-			cl.breach("%s sent %d requests to %s, which had asked it at %s to back off for %s", entry, n, u.id, told.Format(time.StampMilli), s.wait)
+		if n > maxNoticeRequests && cl.disturbances.isUndisturbed(entry, told.At.Add(-settleTime), s.to) {
+			cl.breach("%s sent %d requests to %s, which had asked it at %s to back off for %s", entry, n, u.id, told.At.Format(time.StampMilli), s.wait)
 			return
 		}
 	}
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -110,19 +112,55 @@
 
 func TestRequestsDespiteNoticeAreBreach(t *testing.T) {
 	for _, tc := range []struct {
-		times    []time.Time
+		times []time.Time
+		// before is the number of leading requests that were sent before the notice.
+		before   int
 		breaches int
 	}{
-		{[]time.Time{at(10), at(10.4), at(10.6), at(11)}, 0},
-		{[]time.Time{at(10), at(10.6), at(11), at(11.5)}, 1},
-		{[]time.Time{at(10), at(10.6), at(11), at(12.1), at(13)}, 0},
+		{[]time.Time{at(10), at(10.4), at(10.6), at(11)}, 0, 0},
+		{[]time.Time{at(10), at(10.6), at(11), at(11.5)}, 0, 1},
+		{[]time.Time{at(10), at(10.6), at(11), at(12.1), at(13)}, 0, 0},
+		{[]time.Time{at(10), at(10.6), at(11), at(11.5)}, 1, 0},
+		{[]time.Time{at(9.5), at(10), at(10.6), at(11), at(11.5)}, 1, 1},
 	} {
 		cl := emptyCluster()
-		cl.checkNotice(&upstream{id: "u"}, noticeSpan{timeSpan: timeSpan{from: at(9), to: at(15)}, wait: 2 * time.Second}, "e", tc.times)
+		var sent []platform.Arrival
+		for i, x := range tc.times {
+			sent = append(sent, platform.Arrival{At: x, IsNotified: i >= tc.before})
+		}
+		cl.checkNotice(&upstream{id: "u"}, noticeSpan{timeSpan: timeSpan{from: at(9), to: at(15)}, wait: 2 * time.Second}, "e", sent)
 		require.Len(t, cl.breaches, tc.breaches)
 	}
 }
 
+// Guards against a request that is taken for one whose response had a notice because its body
+// arrived after the notice began.
+func TestRequestWhoseBodyArrivesDuringANoticeIsNotNotified(t *testing.T) {
+	u := platform.NewUpstream(platform.UpstreamConfig{ID: "u", Slots: 4})
+	defer u.Close()
+	send := func(body io.Reader, id string) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+u.Address()+"/", body)
+		require.NoError(t, err)
+		req.Header.Set("X-Request-Id", id)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, resp.Header.Get("Retry-After") != "", u.Arrivals()[len(u.Arrivals())-1].IsNotified, id)
+	}
+	body, w := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(w, "x")
+		time.Sleep(100 * time.Millisecond)
+		u.SetRetryAfter("1")
+		u.SetResponseMode(platform.RejectRequest)
+		_ = w.Close()
+	}()
+	send(body, "before")
+	send(strings.NewReader("x"), "after")
+	require.False(t, u.Arrivals()[0].IsNotified)
+	require.True(t, u.Arrivals()[1].IsNotified)
+}
+
 func TestRetriesBeyondBudgetAreBreach(t *testing.T) {
 	for retries, breaches := range map[int]int{retryExtra: 0, retryExtra + 1: 1} {
 		cl := emptyCluster()
