--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -187,8 +187,9 @@
 	}
 }
 
-// checkNotice checks the requests that one entry sent during a notice, in order. Those whose
-// responses did not have the notice, because they were sent before it, do not tell the entry.
+// checkNotice checks the requests that one entry sent during a notice, in order. A request tells
+// the entry only if its response has the notice: it may have begun before, or another fault may have
+// changed the responses meanwhile.
 func (cl *cluster) checkNotice(u *upstream, s noticeSpan, entry string, sent []platform.Arrival) {
 	for i, told := range sent {
 		if !told.IsNotified {
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -113,7 +113,7 @@
 func TestRequestsDespiteNoticeAreBreach(t *testing.T) {
 	for _, tc := range []struct {
 		times []time.Time
-		// before is the number of leading requests that were sent before the notice.
+		// before is the number of leading requests whose responses have no notice.
 		before   int
 		breaches int
 	}{
