Revert "Send the load of the admission test at fixed times"

Cause: the reason given there is not shown. The run that failed had sent 206 pairs in 3 s, 1.72 times the capacity and the most of its series, so that the load had not fallen below the stated 1.7 times; nor was anything run for what it ruled out. The test was not run again; it fails in some runs beside load (1 of 8 today) and stays listed.

--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -32,9 +32,7 @@
 
 	served, all := map[string]*atomic.Int64{"urgent": {}, "rest": {}}, 0
 	results := make(chan error)
-	// The times are fixed, so that delays of this process do not lower the load.
-	for next, end := time.Now(), time.Now().Add(3*time.Second); next.Before(end); next = next.Add(14 * time.Millisecond) {
-		time.Sleep(time.Until(next))
+	for begun := time.Now(); time.Since(begun) < 3*time.Second; time.Sleep(14 * time.Millisecond) {
 		for path, n := range served {
 			all++
 			go func() {
