Do not take the end of a reset connection for the end of a response

Callers saw: an upstream responded to a long upload at once, without a length, sent a part of its body and reset the connection while the upload was still being written. The caller received that part as a complete response.

Cause: the kernel reports a reset only to the first call that asks. While a long request is being written, the write takes the error, and the read of the response sees a plain end of the stream, which ends a body without a length. roundTripLarge then only marked the connection. http.Transport has the same fault, so that callers of a document's services, peers and the platform's services were affected too.

Change: CheckedConn (io/conn) remembers a write that the connection failed, and a later end of the stream is that error. If a write is in progress at the end of the stream, it is interrupted and waited for.

Why this works: a read can see the end of a reset connection only after a system call of a write has taken the error, and that call returns it, whatever deadline is set meanwhile. A write that ends by its deadline therefore proves that the end was one in order. So: error before the end, or taken but not yet returned at the end: the response is broken, a streamed one ends without its final chunk, and a refusal without a length no longer proves that the request did not run; end in order while the upload is still being written: complete, as before (TestResponseThatEndsDuringUploadIsComplete); a response with a length or chunks is complete by its framing, as before.

Rejected without a trial: waiting some time for the write's error, because no time is long enough for sure.

--- /dev/null
+++ b/io/conn/checked.go
@@ -0,0 +1,75 @@
+package conn
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// CheckedConn is a connection to a server. It fails the reading of responses that are broken but
+// that net/http would accept. Read must not be called concurrently with itself.
+type CheckedConn struct {
+	net.Conn
+	writeMu sync.Mutex
+	// writeErr is the error of the first write that the connection failed.
+	writeErr error
+}
+
+// NewCheckedConn returns a CheckedConn for c.
+func NewCheckedConn(c net.Conn) *CheckedConn {
+	return &CheckedConn{Conn: c}
+}
+
+// Write implements net.Conn.
+func (c *CheckedConn) Write(b []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.recordWrite(err)
+	return n, err
+}
+
+// WriteBuffers writes all buffers, with one system call if the connection supports it.
+func (c *CheckedConn) WriteBuffers(buffers net.Buffers) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	_, err := buffers.WriteTo(c.Conn)
+	c.recordWrite(err)
+	return err
+}
+
+// recordWrite records the end of a write. Writes that this side ended say nothing about the
+// connection. The caller holds c.writeMu.
+func (c *CheckedConn) recordWrite(err error) {
+	if c.writeErr == nil && !errors.IsAny(err, os.ErrDeadlineExceeded, net.ErrClosed) {
+		c.writeErr = err
+	}
+}
+
+// Read implements net.Conn. It returns io.EOF only if the server has closed the connection in order.
+func (c *CheckedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.endOfStream()
+	}
+	return n, err
+}
+
+// endOfStream returns io.EOF, or the error of a write that failed. The kernel reports a reset only
+// to the first call that asks for it, so that after a write has taken it, a read sees the end of the
+// stream. A write in progress may have taken it too; it is interrupted, since its response has ended.
+func (c *CheckedConn) endOfStream() error {
+	if !c.writeMu.TryLock() {
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+		c.writeMu.Lock()
+	}
+	defer c.writeMu.Unlock()
+	if c.writeErr != nil {
+		return errors.Wrap(c.writeErr, "the connection failed before the response ended")
+	}
+	return io.EOF
+}
--- a/io/conn/dialer.go
+++ b/io/conn/dialer.go
@@ -103,7 +103,11 @@
 func (d *Dialer) Transport(region string) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return d.Dial(ctx, region, address)
+			c, err := d.Dial(ctx, region, address)
+			if err != nil {
+				return nil, err
+			}
+			return NewCheckedConn(c), nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 4,
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -189,5 +189,5 @@
 	if p.onConnect != nil {
 		p.onConnect(address, time.Since(start))
 	}
-	return &CountingConn{Conn: c}, nil
+	return &CountingConn{CheckedConn: NewCheckedConn(c)}, nil
 }
--- a/io/conn/trace.go
+++ b/io/conn/trace.go
@@ -7,21 +7,21 @@
 
 // CountingConn counts the bytes written to and read from a connection.
 type CountingConn struct {
-	net.Conn
+	*CheckedConn
 	written atomic.Int64
 	read    atomic.Int64
 }
 
 // Write implements net.Conn.
 func (c *CountingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+	n, err := c.CheckedConn.Write(b)
 	c.written.Add(int64(n))
 	return n, err
 }
 
 // Read implements net.Conn.
 func (c *CountingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.CheckedConn.Read(b)
 	c.read.Add(int64(n))
 	return n, err
 }
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"magnolialedge"
+	"magnolialedge/io/conn"
 	"magnolialedge/io/limit"
 )
 
@@ -58,7 +59,7 @@
 	// DialTime is how long it took to open the connection.
 	DialTime time.Duration
 
-	netConn      net.Conn
+	netConn      *conn.CheckedConn
 	headLimit    *limit.Reader
 	reader       *bufio.Reader
 	headers      magnolialedge.HeaderProtocol
@@ -77,12 +78,13 @@
 }
 
 func newConn(netConn net.Conn, upstream magnolialedge.Registration, headers magnolialedge.HeaderProtocol, dialTime time.Duration) *Conn {
-	headLimit := limit.NewReader(netConn, errHeadTooLarge)
+	checked := conn.NewCheckedConn(netConn)
+	headLimit := limit.NewReader(checked, errHeadTooLarge)
 	now := time.Now()
 	return &Conn{
 		Upstream:       upstream,
 		DialTime:       dialTime,
-		netConn:        netConn,
+		netConn:        checked,
 		headLimit:      headLimit,
 		reader:         bufio.NewReaderSize(headLimit, readBufferBytes),
 		headers:        headers,
@@ -239,9 +241,7 @@
 func (c *Conn) roundTripLarge(head []byte, req *Request) (*Response, Sent, error) {
 	writeErr := make(chan error, 1)
 	go func() {
-		buffers := net.Buffers{head, req.Body}
-		_, err := buffers.WriteTo(c.netConn)
-		writeErr <- err
+		writeErr <- c.netConn.WriteBuffers(net.Buffers{head, req.Body})
 	}()
 	resp, err := c.readResponse(req)
 	select {
--- a/io/link/idle.go
+++ b/io/link/idle.go
@@ -14,7 +14,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	socket, ok := c.netConn.(syscall.Conn)
+	socket, ok := c.netConn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/io/node/cluster_test.go
+++ b/io/node/cluster_test.go
@@ -39,7 +39,9 @@
 	coldPerSecond float64
 	// admission turns admission control by priority on.
 	admission bool
-	mu        sync.Mutex
+	// maxBodyBytes limits the bodies of requests.
+	maxBodyBytes int
+	mu           sync.Mutex
 }
 
 // testEntry is a running entry.
@@ -86,7 +88,7 @@
 
 func newTestClusterWith(t *testing.T, change func(*testCluster)) *testCluster {
 	t.Parallel()
-	tc := &testCluster{t: t, store: stand.NewStore(), version: 1}
+	tc := &testCluster{t: t, store: stand.NewStore(), version: 1, maxBodyBytes: 100000}
 	change(tc)
 	t.Cleanup(tc.store.Close)
 	tc.routes = []string{
@@ -119,7 +121,7 @@
 	if tc.accounts != "" {
 		accounts = `"tenants":[` + tc.accounts + `],`
 	}
-	tc.store.Put("op/config", []byte(fmt.Sprintf(`{"version":"r%d",%s"routes":[%s],"services":[{"name":"svc","health-path":"/health","max-conns":100,"cold-per-s":%g},{"name":"other","health-path":"/health","max-conns":100}],"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":300,"idle-timeout-ms":5000}}`, tc.version, accounts, routes, tc.coldPerSecond)))
+	tc.store.Put("op/config", []byte(fmt.Sprintf(`{"version":"r%d",%s"routes":[%s],"services":[{"name":"svc","health-path":"/health","max-conns":100,"cold-per-s":%g},{"name":"other","health-path":"/health","max-conns":100}],"limits":{"max-header-bytes":4096,"max-body-bytes":%d,"header-timeout-ms":300,"idle-timeout-ms":5000}}`, tc.version, accounts, routes, tc.coldPerSecond, tc.maxBodyBytes)))
 }
 
 func (tc *testCluster) addUpstream(id string) *stand.Upstream {
