Reject responses whose head has a malformed field or a folded line

Callers saw: an upstream sent a response in whose head the name of a field had a blank, or a line was folded. It was passed on as a success, with that line, with another value of the line before, or with a body that was not the upstream's ("Content-Length : 5" and "Transfer Encoding: chunked" do not delimit it, so that it lasted until the close).

Cause: http.ReadResponse keeps names with blanks as they are and joins folded lines, whose trace is then gone. Nothing checked the head before its fields were used, whoever read it: requests to upstreams, handed-over requests, health checks, and everything that goes through http.Transport (upstreams of a document, peers, the platform's services).

Evidence, with the tests on the product before: TestHeadWithAMalformedFieldIsNoResponse (io/link) failed for the nine kinds of lines with a blank in or after a name and folded lines; control bytes, delimiters, names outside ASCII and lines without a colon were rejected already and keep their cases. TestMalformedHealthResponseIsAnError and TestMalformedHeadBehindAnotherResponseIsNoResponse failed; TestMalformedHeadIsNoResponse (io/conn) accepted the same names on all three ways of sending; TestResponseWithAMalformedFieldReachesNoCaller passed the body on in four of its five cases (not with the control byte) within the first six requests.

Change: headCheck (io/conn) checks the bytes of a head before net/http sees the end of the line: names are tokens, values have no control bytes, no line begins with a blank (RFC 9112, 5.1 and 5.2; RFC 9110, 5.5). CheckedConn applies it to informational and final heads, also to those that are already in the buffer behind another response, and fails for good; Transport does so for http.Transport. A response that began before its request was sent is rejected too, because its head was not checked.

Why this works: the check fails the read inside the malformed line, so that no reader can complete the head. The attempt has then failed and may have run: an idempotent request is tried elsewhere, another gets 502, the connection is closed, and no load, limit, notice of leaving or identity in it is used. The log line upstreamLost says which line of the head and which byte was wrong.

--- a/io/conn/checked.go
+++ b/io/conn/checked.go
@@ -17,6 +17,11 @@
 	writeMu sync.Mutex
 	// writeErr is the error of the first write that the connection failed.
 	writeErr error
+
+	headMu sync.Mutex
+	head   headCheck
+	// headErr is what is wrong with the head of a response. Nothing is read after it.
+	headErr error
 }
 
 // NewCheckedConn returns a CheckedConn for c.
@@ -50,12 +55,56 @@
 	}
 }
 
-// Read implements net.Conn. It returns io.EOF only if the server has closed the connection in order.
+// ExpectResponse prepares for the response to a request that is about to be sent, or that has been
+// sent. Buffered are the bytes that were already read from the connection and that no earlier
+// response has used. The error is that of HeadErr.
+func (c *CheckedConn) ExpectResponse(buffered []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if c.headErr != nil {
+		return c.headErr
+	}
+	c.head = newHeadCheck()
+	_, c.headErr = c.head.check(buffered)
+	return c.headErr
+}
+
+// HeadErr returns what is wrong with the head of a response, or nil. The connection cannot be used
+// after it.
+func (c *CheckedConn) HeadErr() error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.headErr
+}
+
+// hasHead reports whether the head of the expected response has arrived.
+func (c *CheckedConn) hasHead() bool {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.headErr == nil && c.head.isComplete()
+}
+
+// Read implements net.Conn. It returns io.EOF only if the server has closed the connection in order,
+// and fails before a head that is malformed is complete.
 func (c *CheckedConn) Read(b []byte) (int, error) {
+	if err := c.HeadErr(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		err = c.endOfStream()
 	}
+	if passed, headErr := c.checkHead(b[:n]); headErr != nil {
+		return passed, headErr
+	}
+	return n, err
+}
+
+func (c *CheckedConn) checkHead(b []byte) (int, error) {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	n, err := c.head.check(b)
+	c.headErr = err
 	return n, err
 }
 
--- a/io/conn/dialer.go
+++ b/io/conn/dialer.go
@@ -100,8 +100,8 @@
 
 // Transport returns an HTTP transport for requests to peers and the platform in
 // region.
-func (d *Dialer) Transport(region string) *http.Transport {
-	return &http.Transport{
+func (d *Dialer) Transport(region string) *Transport {
+	return &Transport{&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			c, err := d.Dial(ctx, region, address)
 			if err != nil {
@@ -112,5 +112,5 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     20 * time.Second,
-	}
+	}}
 }
--- a/io/conn/pool.go
+++ b/io/conn/pool.go
@@ -57,8 +57,8 @@
 // and fresh for requests that must run at most once.
 type target struct {
 	dest   Destination
-	shared *http.Transport
-	fresh  *http.Transport
+	shared *Transport
+	fresh  *Transport
 }
 
 // PoolConfig configures a Pool.
@@ -166,8 +166,8 @@
 	return t
 }
 
-func (p *Pool) newTransport(d Destination, maxConns int, idleTimeout time.Duration) *http.Transport {
-	return &http.Transport{
+func (p *Pool) newTransport(d Destination, maxConns int, idleTimeout time.Duration) *Transport {
+	return &Transport{&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return p.dial(ctx, d.Region, address)
 		},
@@ -177,7 +177,7 @@
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
-	}
+	}}
 }
 
 func (p *Pool) dial(ctx context.Context, region, address string) (net.Conn, error) {
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -370,11 +371,16 @@
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.headLimit.SetLimit(maxHeadBytes)
 	defer c.headLimit.ClearLimit()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.netConn.ExpectResponse(buffered); err != nil {
+		c.broken = true
+		return nil, err
+	}
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			c.broken = true
-			return nil, err
+			return nil, cmp.Or(c.netConn.HeadErr(), err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
--- a/io/node/broken_response_test.go
+++ b/io/node/broken_response_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+	"unicode"
 
 	"github.com/stretchr/testify/require"
 )
@@ -89,3 +91,89 @@
 	}
 	require.Positive(t, u.requests.Load())
 }
+
+// brokenResponse returns a response whose status line and last fields can be set. Its other fields say
+// that the upstream is leaving and limited.
+func brokenResponse(statusLine, fields string) func(id string) string {
+	return func(id string) string {
+		return statusLine + "\r\nX-Request-Id: " + id + "\r\nX-Response-Signature: s\r\nServer-Leaving: 1\r\nServer-Limit: 1\r\n" +
+			"Connection: close\r\n" + fields + "\r\n\r\nbroken"
+	}
+}
+
+// callerResult is the response to a caller's request.
+type callerResult struct {
+	response
+	id     string
+	isRead bool
+}
+
+// sendFromMany sends reads and writes from several callers at a time and returns the responses.
+func (tc *testCluster) sendFromMany() []callerResult {
+	const callers, rounds = 6, 12
+	var mu sync.Mutex
+	var results []callerResult
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range rounds {
+				read, readID := tc.send("GET", "/reads/1", "")
+				write, writeID := tc.send("POST", "/writes/1", "x")
+				mu.Lock()
+				results = append(results, callerResult{read, readID, true}, callerResult{write, writeID, false})
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return results
+}
+
+// requireNoCallerGets sends requests to an upstream that sends broken responses, and to two that work.
+// It requires that no caller receives a broken one, that idempotent requests are served by the others,
+// that other requests run at most once, and that nothing in the broken ones is believed.
+func requireNoCallerGets(t *testing.T, response func(id string) string) {
+	tc := newTestCluster(t)
+	var broken sync.Map
+	tc.addRawUpstream(func(c *net.TCPConn, id string) bool {
+		broken.Store(id, true)
+		_, _ = io.WriteString(c, response(id))
+		return false
+	})
+	logs := tc.entries[0].logs
+	require.Eventually(t, func() bool { return strings.Contains(logs.String(), "upstream=raw") }, applyTimeout, 10*time.Millisecond)
+	hasBroken := false
+	for _, r := range tc.sendFromMany() {
+		_, isBroken := broken.Load(r.id)
+		hasBroken = hasBroken || isBroken
+		require.NotContains(t, r.body, "broken", r.id)
+		if r.isRead {
+			require.Equal(t, http.StatusOK, r.status, r.id)
+			continue
+		}
+		require.Equal(t, isBroken, r.status == http.StatusBadGateway, "%s: status %d", r.id, r.status)
+		require.Equal(t, !isBroken, tc.runCount(r.id) == 1, r.id)
+	}
+	require.True(t, hasBroken)
+	text := logs.String()
+	require.True(t, strings.Contains(text, "malformed response head"), "the log tells what was wrong")
+	require.False(t, strings.Contains(text, "name=upstreamDraining"))
+	require.False(t, strings.Contains(text, "name=upstreamLimited "))
+	require.False(t, strings.ContainsFunc(text, func(r rune) bool { return unicode.IsControl(r) && r != '\n' }), "the log has control bytes")
+}
+
+// Guards against a response that reaches callers although the name of a field in its head has a blank
+// or a control byte, or a line is folded: with that line, or with a body that is not the upstream's.
+func TestResponseWithAMalformedFieldReachesNoCaller(t *testing.T) {
+	for name, fields := range map[string]string{
+		"blank in a name":     "X Fo: v\r\nContent-Length: 6",
+		"blank after a name":  "Content-Length : 3",
+		"control byte":        "X-\x01Fo: v\r\nContent-Length: 6",
+		"folded line":         "X-Fo: a\r\n : v\r\nContent-Length: 6",
+		"blank in the coding": "Transfer Encoding: chunked",
+	} {
+		t.Run(name, func(t *testing.T) {
+			requireNoCallerGets(t, brokenResponse("HTTP/1.1 200 OK", fields))
+		})
+	}
+}
--- a/io/node/hearing.go
+++ b/io/node/hearing.go
@@ -63,7 +63,7 @@
 
 // hearingTransport returns the transport for requests to other entries. Few entries are asked
 // often, and the messages are small.
-func hearingTransport(dialer *conn.Dialer) *http.Transport {
+func hearingTransport(dialer *conn.Dialer) *conn.Transport {
 	transport := dialer.Transport("")
 	transport.MaxIdleConnsPerHost = 1
 	transport.IdleConnTimeout = hearingIdleTimeout
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -38,7 +38,7 @@
 	API         magnolialedge.EntryAPI
 	// NewStore returns a client for the platform's store. The client calls count
 	// with the name of each call.
-	NewStore  func(address string, transport *http.Transport, count func(call string)) magnolialedge.Keyspace
+	NewStore  func(address string, transport http.RoundTripper, count func(call string)) magnolialedge.Keyspace
 	LogWriter io.Writer
 	// Admission turns on admission control by priority also without client accounts.
 	Admission bool
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -27,12 +27,12 @@
 	mu        sync.Mutex
 	byAddress map[string]peerpb.Peer
 	// transports holds one transport per region, which the clients of its peers share.
-	transports map[string]*http.Transport
+	transports map[string]*conn.Transport
 }
 
 // NewClients returns an empty Clients.
 func NewClients(cfg ClientsConfig) *Clients {
-	return &Clients{cfg: cfg, byAddress: map[string]peerpb.Peer{}, transports: map[string]*http.Transport{}}
+	return &Clients{cfg: cfg, byAddress: map[string]peerpb.Peer{}, transports: map[string]*conn.Transport{}}
 }
 
 // ClientFor returns the client for the peer at address in region, creating it on first
