Reject responses with a status that HTTP does not define

Callers saw: an upstream sent a response with the status 000 (or 001, 042, 099) whose body was itself a complete response with the id of the request, and received that body as the response. Statuses of 600 and more were passed on, as "600 Status".

Cause: http.ReadResponse takes any three digits for a status, and readHead takes every status below 200 for that of an informational response, behind which the response is expected. io/call would have passed such a status to http.ResponseWriter.WriteHeader, which panics below 100 (read, not run).

Change: headCheck also checks the beginning of the status line: three digits, 100 to 599 (RFC 9112, 4; RFC 9110, 15). A malformed head now closes the connection at once, not only when the connection is put back.

Why this works: the check stands before anything decides on the status, for informational and final responses and for all readers of responses. Only statuses of 1xx other than 101 are followed by another head, and these have no body.

A test changed: garbage that is dripped in the place of a status line now ends at its 13th byte, long before the deadline, so that TestDrippedGarbageEndsWithTheDeadline also drips the value of a field, which lasts until the deadline. Its bounds are the same.

--- a/io/conn/checked.go
+++ b/io/conn/checked.go
@@ -65,12 +65,12 @@
 		return c.headErr
 	}
 	c.head = newHeadCheck()
-	_, c.headErr = c.head.check(buffered)
-	return c.headErr
+	_, err := c.check(buffered)
+	return err
 }
 
-// HeadErr returns what is wrong with the head of a response, or nil. The connection cannot be used
-// after it.
+// HeadErr returns what is wrong with the head of a response, or nil. The connection has then been
+// closed.
 func (c *CheckedConn) HeadErr() error {
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
@@ -100,12 +100,21 @@
 	return n, err
 }
 
+// check checks the next bytes and closes the connection if the head is malformed. The caller holds
+// c.headMu.
+func (c *CheckedConn) check(b []byte) (int, error) {
+	n, err := c.head.check(b)
+	if err != nil {
+		c.headErr = err
+		_ = c.Close()
+	}
+	return n, err
+}
+
 func (c *CheckedConn) checkHead(b []byte) (int, error) {
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
-	n, err := c.head.check(b)
-	c.headErr = err
-	return n, err
+	return c.check(b)
 }
 
 // endOfStream returns io.EOF, or the error of a write that failed. The kernel reports a reset only
--- a/io/conn/head_check.go
+++ b/io/conn/head_check.go
@@ -1,7 +1,6 @@
 package conn
 
 import (
-	"bytes"
 	"fmt"
 
 	"github.com/cockroachdb/errors"
@@ -87,11 +86,41 @@
 }
 
 func (h *headCheck) nextOfStatus(c byte) error {
-	if h.length < statusBytes {
-		h.status[h.length] = c
-		h.length++
+	if err := h.nextOfText(c); err != nil {
+		return err
 	}
-	return h.nextOfText(c)
+	if h.length == statusBytes {
+		return nil
+	}
+	h.status[h.length] = c
+	h.length++
+	if h.length == statusBytes {
+		return h.checkStatus()
+	}
+	return nil
+}
+
+// checkStatus checks the beginning of a status line (RFC 9112, 4) and that the status is one that HTTP
+// defines (RFC 9110, 15). A lower one would be taken for that of an informational response.
+func (h *headCheck) checkStatus() error {
+	code := h.code()
+	isNumber := isDigit(code[0]) && isDigit(code[1]) && isDigit(code[2])
+	if !isNumber || h.status[statusBytes-1] != ' ' {
+		return h.malformed("status line %q", h.status[:])
+	}
+	if code[0] < '1' || code[0] > '5' {
+		return h.malformed("status %s", code)
+	}
+	return nil
+}
+
+// code returns the digits of the status.
+func (h *headCheck) code() []byte {
+	return h.status[len("HTTP/1.1 ") : statusBytes-1]
+}
+
+func isDigit(c byte) bool {
+	return '0' <= c && c <= '9'
 }
 
 func (h *headCheck) nextOfName(c byte) error {
@@ -119,6 +148,13 @@
 
 func (h *headCheck) endLine() error {
 	switch h.part {
+	case statusLine:
+		// The blank behind the status may be missing if there is no reason phrase.
+		for h.length < statusBytes {
+			if err := h.nextOfStatus(' '); err != nil {
+				return err
+			}
+		}
 	case fieldName:
 		return h.malformed("no colon")
 	case lineStart:
@@ -132,8 +168,7 @@
 // endHead ends a head. Another one follows that of an informational response, unless the connection
 // has switched to another protocol.
 func (h *headCheck) endHead() {
-	code := h.status[len("HTTP/1.1 "):]
-	if bytes.HasPrefix(code, []byte("1")) && !bytes.HasPrefix(code, []byte("101")) {
+	if code := h.code(); code[0] == '1' && string(code) != "101" {
 		h.startLine(statusLine)
 		return
 	}
--- a/io/link/endless_test.go
+++ b/io/link/endless_test.go
@@ -122,10 +122,18 @@
 }
 
 // Garbage that arrives a byte at a time never completes a head. The attempt ends
-// with its deadline and the connection is closed.
+// with its deadline at the latest and the connection is closed.
 func TestDrippedGarbageEndsWithTheDeadline(t *testing.T) {
+	for name, start := range map[string]string{"status line": "", "field": "HTTP/1.1 200 OK\r\nA: "} {
+		t.Run(name, func(t *testing.T) {
+			requireDripsEnd(t, start)
+		})
+	}
+}
+
+func requireDripsEnd(t *testing.T, start string) {
 	upstreamClosed := make(chan struct{})
-	conn := scriptedConnThen(t, "", func(c net.Conn) {
+	conn := scriptedConnThen(t, start, func(c net.Conn) {
 		defer close(upstreamClosed)
 		defer c.Close()
 		for {
--- a/io/link/head_test.go
+++ b/io/link/head_test.go
@@ -112,3 +112,21 @@
 		require.Equal(t, "ok", string(resp.Body))
 	}
 }
+
+// Guards against the body of a response that is passed on as the response: a status below 100 is taken
+// for an informational one, behind which the response is expected.
+func TestBodyOfAnInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "042", "099"} {
+		for _, fields := range []string{"", "Request-Id: 7\r\nSignature: s\r\n", "Content-Length: 80\r\n"} {
+			requireNoResponse(t, "HTTP/1.1 "+status+" No\r\n"+fields+"\r\n"+ownResponse)
+			requireNoResponse(t, "HTTP/1.1 "+status+"\r\n"+fields+"\r\n")
+		}
+	}
+}
+
+// Guards against a response that is passed on although its status is none that HTTP defines.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"600", "666", "999", "+20", "-20", "20", "2000", "2 0", "", "2\x000", "OK"} {
+		requireNoResponse(t, "HTTP/1.1 "+status+" No\r\nRequest-Id: 7\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
--- a/io/node/broken_response_test.go
+++ b/io/node/broken_response_test.go
@@ -92,12 +92,13 @@
 	require.Positive(t, u.requests.Load())
 }
 
-// brokenResponse returns a response whose status line and last fields can be set. Its other fields say
-// that the upstream is leaving and limited.
+// notices are fields that say that the upstream is leaving and limited.
+const notices = "Server-Leaving: 1\r\nServer-Limit: 1\r\n"
+
+// brokenResponse returns a response with a status line and fields behind those that identify it.
 func brokenResponse(statusLine, fields string) func(id string) string {
 	return func(id string) string {
-		return statusLine + "\r\nX-Request-Id: " + id + "\r\nX-Response-Signature: s\r\nServer-Leaving: 1\r\nServer-Limit: 1\r\n" +
-			"Connection: close\r\n" + fields + "\r\n\r\nbroken"
+		return statusLine + "\r\nX-Request-Id: " + id + "\r\nX-Response-Signature: s\r\nConnection: close\r\n" + fields + "\r\n\r\nbroken"
 	}
 }
 
@@ -110,17 +111,21 @@
 
 // sendFromMany sends reads and writes from several callers at a time and returns the responses.
 func (tc *testCluster) sendFromMany() []callerResult {
-	const callers, rounds = 6, 12
+	const callers, requests = 6, 24
 	var mu sync.Mutex
 	var results []callerResult
 	var group sync.WaitGroup
-	for range callers {
+	for caller := range callers {
 		group.Go(func() {
-			for range rounds {
-				read, readID := tc.send("GET", "/reads/1", "")
-				write, writeID := tc.send("POST", "/writes/1", "x")
+			for i := range requests {
+				r := callerResult{isRead: (caller+i)%2 == 0}
+				if r.isRead {
+					r.response, r.id = tc.send("GET", "/reads/1", "")
+				} else {
+					r.response, r.id = tc.send("POST", "/writes/1", "x")
+				}
 				mu.Lock()
-				results = append(results, callerResult{read, readID, true}, callerResult{write, writeID, false})
+				results = append(results, r)
 				mu.Unlock()
 			}
 		})
@@ -173,7 +178,24 @@
 		"blank in the coding": "Transfer Encoding: chunked",
 	} {
 		t.Run(name, func(t *testing.T) {
-			requireNoCallerGets(t, brokenResponse("HTTP/1.1 200 OK", fields))
+			requireNoCallerGets(t, brokenResponse("HTTP/1.1 200 OK", notices+fields))
+		})
+	}
+}
+
+// Guards against a response that reaches callers although its status is none that HTTP defines, and
+// against its body, which is taken for the response if the status counts as an informational one.
+func TestResponseWithAnInvalidStatusReachesNoCaller(t *testing.T) {
+	inner := brokenResponse("HTTP/1.1 200 OK", "Content-Length: 6")
+	for name, response := range map[string]func(id string) string{
+		"000":                    brokenResponse("HTTP/1.1 000 No", "Content-Length: 6"),
+		"000 and a response":     func(id string) string { return "HTTP/1.1 000 No\r\n\r\n" + inner(id) },
+		"042 with a response":    func(id string) string { return "HTTP/1.1 042 No\r\nContent-Length: 200\r\n\r\n" + inner(id) },
+		"600":                    brokenResponse("HTTP/1.1 600 No", "Content-Length: 6"),
+		"999 without the reason": brokenResponse("HTTP/1.1 999", "Content-Length: 6"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			requireNoCallerGets(t, response)
 		})
 	}
 }
