Reject responses of another version of HTTP than 1.x

Callers saw: a response whose status line says HTTP/0.9, HTTP/2.0 or HTTP/9.9 was passed on as a success.

Cause: http.ReadResponse accepts any version of one digit each.

Change: the check of the status line, headCheck.checkStatus, also checks the version, which must be 1.x in capitals (RFC 9112, 2.3).

Why this works: another major version has other bounds of messages, so that a line that names one is no status line of the protocol that is spoken on the connection. Versions 1.0 and 1.1 are served as before.

--- a/io/conn/head_check.go
+++ b/io/conn/head_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -36,8 +37,12 @@
 	fieldValue
 )
 
-// statusBytes is the length of a status line up to the reason phrase, as "HTTP/1.1 200 ".
-const statusBytes = 13
+const (
+	// versionBytes is the length of a version, as "HTTP/1.1".
+	versionBytes = 8
+	// statusBytes is the length of a status line up to the reason phrase, as "HTTP/1.1 200 ".
+	statusBytes = 13
+)
 
 // newHeadCheck returns a headCheck that expects a response.
 func newHeadCheck() headCheck {
@@ -100,14 +105,19 @@
 	return nil
 }
 
-// checkStatus checks the beginning of a status line (RFC 9112, 4) and that the status is one that HTTP
-// defines (RFC 9110, 15). A lower one would be taken for that of an informational response.
+// checkStatus checks the beginning of a status line (RFC 9112, 4), its version, and that the status is
+// one that HTTP defines (RFC 9110, 15). A lower one would be taken for that of an informational
+// response.
 func (h *headCheck) checkStatus() error {
-	code := h.code()
+	version, code := h.status[:versionBytes], h.code()
+	major, _, isVersion := http.ParseHTTPVersion(string(version))
 	isNumber := isDigit(code[0]) && isDigit(code[1]) && isDigit(code[2])
-	if !isNumber || h.status[statusBytes-1] != ' ' {
+	if !isVersion || !isNumber || h.status[versionBytes] != ' ' || h.status[statusBytes-1] != ' ' {
 		return h.malformed("status line %q", h.status[:])
 	}
+	if major != 1 {
+		return h.malformed("version %s", version)
+	}
 	if code[0] < '1' || code[0] > '5' {
 		return h.malformed("status %s", code)
 	}
@@ -116,7 +126,7 @@
 
 // code returns the digits of the status.
 func (h *headCheck) code() []byte {
-	return h.status[len("HTTP/1.1 ") : statusBytes-1]
+	return h.status[versionBytes+1 : statusBytes-1]
 }
 
 func isDigit(c byte) bool {
--- a/io/link/head_test.go
+++ b/io/link/head_test.go
@@ -130,3 +130,11 @@
 		requireNoResponse(t, "HTTP/1.1 "+status+" No\r\nRequest-Id: 7\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok")
 	}
 }
+
+// Guards against a response that is passed on although it is of another version of HTTP, whose messages
+// have other bounds (RFC 9112, 2.3).
+func TestResponseOfAnotherVersionIsNoResponse(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/2", "HTTP/1.", "HTTP/1.10", "http/1.1", "HTTQ/1.1", "HTTP/1,1", "ICY", ""} {
+		requireNoResponse(t, version+" 200 OK\r\nRequest-Id: 7\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
--- a/io/node/broken_response_test.go
+++ b/io/node/broken_response_test.go
@@ -199,3 +199,12 @@
 		})
 	}
 }
+
+// Guards against a response that reaches callers although it is of another version of HTTP.
+func TestResponseOfAnotherVersionReachesNoCaller(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/9.9"} {
+		t.Run(version, func(t *testing.T) {
+			requireNoCallerGets(t, brokenResponse(version+" 200 OK", "Content-Length: 6"))
+		})
+	}
+}
