Reject chunked responses with a malformed trailer

Callers saw: a chunked response whose trailer has a name with a blank was passed on as complete. Requests that go through http.Transport could use the names of such a trailer.

Cause: net/http reads trailers with the lenient reader of heads.

Control bytes, delimiters and names outside ASCII were rejected already and keep their cases.

Change: CheckTrailer (io/conn) checks the names of the trailer at the end of a chunked body, and closes the connection.

Why this works: the body reports its end to every reader only after the trailer is parsed, and now fails there; a long response that is being streamed then ends without its final chunk. Folded lines are not rejected in trailers: net/http joins them with a blank, which RFC 9112, 5.2, allows, and trailers of upstreams of routes are not passed on.

--- a/io/conn/head_check_test.go
+++ b/io/conn/head_check_test.go
@@ -79,3 +79,25 @@
 		})
 	}
 }
+
+// Guards against a chunked response that is used although the trailer behind it is malformed.
+func TestMalformedTrailerEndsNoResponse(t *testing.T) {
+	for _, way := range ways {
+		t.Run(way, func(t *testing.T) {
+			for trailer, isValid := range map[string]bool{"": true, "X-Fo: v\r\n": true, "X Fo: v\r\n": false, "X-Fo : v\r\n": false, "X-Fo: a\x01b\r\n": false} {
+				address := startUpstream(t, func(c *net.TCPConn) {
+					_, _ = c.Read(make([]byte, 4<<10))
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTrailer: Y Fo\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+trailer+"\r\n")
+				})
+				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/", http.NoBody)
+				require.NoError(t, err)
+				resp, err := sendTo(req, address, way)
+				require.NoError(t, err)
+				body, err := io.ReadAll(resp.Body)
+				require.Equal(t, isValid, err == nil, "%q: %v", trailer, err)
+				require.Equal(t, "ok", string(body))
+				require.NoError(t, resp.Body.Close())
+			}
+		})
+	}
+}
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -383,6 +383,7 @@
 			return nil, cmp.Or(c.netConn.HeadErr(), err)
 		}
 		if resp.StatusCode >= http.StatusOK {
+			c.netConn.CheckTrailer(resp)
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
