Limit the heads of responses that go through http.Transport or a gateway

What callers would see: an upstream of a document, a peer, a platform service or a gateway sends a head without end, the entry keeps the bytes until it runs out of memory, and the requests of all callers end with it.

Cause: http.Transport keeps up to 10 MB of a head for each call, and resets that limit with every informational response that is passed on, so that these have no limit at all; the head of a gateway's response to CONNECT had no limit but the timeout of 1 s.

Change: headCheck limits the heads of a response, informational and final together, to 64 KB and 1,000 lines, for every reader. It takes the place of the reader that limited heads in io/link, whose error is now conn.ErrHeadTooLarge (two tests name it).

Why this works: the limit stands below the reader that holds the bytes, and an upstream that exceeds it loses its connection.

--- a/io/conn/checked.go
+++ b/io/conn/checked.go
@@ -85,7 +85,7 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only if the server has closed the connection in order,
-// and fails before a head that is malformed is complete.
+// and fails before a head that is malformed or too large is complete.
 func (c *CheckedConn) Read(b []byte) (int, error) {
 	if err := c.HeadErr(); err != nil {
 		return 0, err
@@ -100,7 +100,7 @@
 	return n, err
 }
 
-// check checks the next bytes and closes the connection if the head is malformed. The caller holds
+// check checks the next bytes and closes the connection if the head is wrong. The caller holds
 // c.headMu.
 func (c *CheckedConn) check(b []byte) (int, error) {
 	n, err := c.head.check(b)
--- a/io/conn/dialer.go
+++ b/io/conn/dialer.go
@@ -88,9 +88,11 @@
 	if err := req.Write(c); err != nil {
 		return errors.Wrap(err, "gateway")
 	}
-	resp, err := http.ReadResponse(bufio.NewReaderSize(c, 1024), req)
+	checked := NewCheckedConn(c)
+	_ = checked.ExpectResponse(nil)
+	resp, err := http.ReadResponse(bufio.NewReaderSize(checked, 1024), req)
 	if err != nil {
-		return errors.Wrap(err, "gateway")
+		return errors.Wrap(cmp.Or(checked.HeadErr(), err), "gateway")
 	}
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("gateway answered %d", resp.StatusCode)
--- a/io/conn/head_check.go
+++ b/io/conn/head_check.go
@@ -8,14 +8,27 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// These limit the heads of a response, those of informational responses and the final one together. Many
+// responses may be read at a time, and a head is held until it is complete. A field takes up far more
+// memory than a short line, so that lines are limited too.
+const (
+	maxResponseHeadBytes = 64 << 10
+	maxResponseHeadLines = 1000
+)
+
 // ErrMalformedHead means that the head of a response breaks the syntax of HTTP/1.1 (RFC 9112).
 var ErrMalformedHead = errors.New("malformed response head")
 
+// ErrHeadTooLarge means that the heads of a response exceed the limit on their bytes or lines.
+var ErrHeadTooLarge = errors.New("response head exceeds the size limit")
+
 // headCheck checks the heads of a response byte by byte, as they arrive: those of informational
 // responses and that of the final one. net/http accepts names with blanks, and joins folded lines
 // (RFC 9112, 5.1 and 5.2), so that it may see other fields than the sender of the response does.
 type headCheck struct {
 	part headPart
+	// size is the number of bytes so far.
+	size int
 	// line is the number of the line, beginning with 1.
 	line int
 	// status holds the beginning of the status line, and length the number of bytes in it or in the
@@ -55,9 +68,13 @@
 }
 
 // check checks the next bytes of a connection. It stops after the final head. If the head is
-// malformed, it returns the number of bytes before the first wrong one, none of which ends the line.
+// malformed or too large, it returns the number of bytes before the first wrong one, none of which ends the line.
 func (h *headCheck) check(b []byte) (int, error) {
 	for i := 0; i < len(b) && !h.isComplete(); i++ {
+		if h.size == maxResponseHeadBytes || h.line > maxResponseHeadLines {
+			return i, ErrHeadTooLarge
+		}
+		h.size++
 		if err := h.next(b[i]); err != nil {
 			return i, err
 		}
--- a/io/conn/head_check_test.go
+++ b/io/conn/head_check_test.go
@@ -101,3 +101,16 @@
 		})
 	}
 }
+
+// The limits on a head count informational responses and the final one together.
+func TestHeadLimits(t *testing.T) {
+	const start, end = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n", "\r\n"
+	padding := func(n int) string { return "X: " + strings.Repeat("x", n-len("X: \r\n")) + "\r\n" }
+	fields := func(n int) string { return strings.Repeat("X: x\r\n", n) }
+	const paddingBytes = maxResponseHeadBytes - len(start) - len(end)
+	const fieldLines = maxResponseHeadLines - 4
+	require.Equal(t, "valid", verdict(start+padding(paddingBytes)+end, 1000))
+	require.Equal(t, ErrHeadTooLarge.Error(), verdict(start+padding(paddingBytes+1)+end, 1000))
+	require.Equal(t, "valid", verdict(start+fields(fieldLines)+end, 1000))
+	require.Equal(t, ErrHeadTooLarge.Error(), verdict(start+fields(fieldLines+1)+end, 1000))
+}
--- a/io/conn/reset_test.go
+++ b/io/conn/reset_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +46,7 @@
 	resp, _, err := p.Send(req, SendOptions{
 		Destination:     Destination{Address: address, MaxConnections: 4},
 		FreshConnection: way == "fresh",
+		OnInterim:       func(int, textproto.MIMEHeader) error { return nil },
 	})
 	return resp, err
 }
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -28,9 +28,6 @@
 	// maxUnusedBodyBytes limits the body of a response that is not passed on. An
 	// upstream may send bytes without end, and many requests may wait for it.
 	maxUnusedBodyBytes = 64 << 10
-	// maxHeadBytes limits the head of a response, including the informational
-	// responses before it.
-	maxHeadBytes = 64 << 10
 	// maxForeignResponses limits the number of responses to other requests that
 	// are skipped before RoundTrip fails.
 	maxForeignResponses = 3
@@ -46,7 +43,6 @@
 var (
 	errForeignResponse   = errors.New("upstream sent no response to this request, only to others")
 	errResponseTooLarge  = errors.New("upstream response body exceeds the size limit")
-	errHeadTooLarge      = errors.New("upstream response head exceeds the size limit")
 	errNotHealthResponse = errors.New("upstream sent a response that does not belong to a health check")
 	// ErrWrongInstance is returned when the address now belongs to another
 	// upstream.
@@ -61,7 +57,6 @@
 	DialTime time.Duration
 
 	netConn      *conn.CheckedConn
-	headLimit    *limit.Reader
 	reader       *bufio.Reader
 	headers      magnolialedge.HeaderProtocol
 	idleTimeout  time.Duration
@@ -80,14 +75,12 @@
 
 func newConn(netConn net.Conn, upstream magnolialedge.Registration, headers magnolialedge.HeaderProtocol, dialTime time.Duration) *Conn {
 	checked := conn.NewCheckedConn(netConn)
-	headLimit := limit.NewReader(checked, errHeadTooLarge)
 	now := time.Now()
 	return &Conn{
 		Upstream:       upstream,
 		DialTime:       dialTime,
 		netConn:        checked,
-		headLimit:      headLimit,
-		reader:         bufio.NewReaderSize(headLimit, readBufferBytes),
+		reader:         bufio.NewReaderSize(checked, readBufferBytes),
 		headers:        headers,
 		idleTimeout:    defaultIdleTimeout,
 		openedAt:       now,
@@ -369,8 +362,6 @@
 
 // readHead reads the head of a final response and skips informational ones.
 func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.headLimit.SetLimit(maxHeadBytes)
-	defer c.headLimit.ClearLimit()
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	if err := c.netConn.ExpectResponse(buffered); err != nil {
 		c.broken = true
--- a/io/link/endless_test.go
+++ b/io/link/endless_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"magnolialedge/io/conn"
 	"magnolialedge/io/limit"
 )
 
@@ -106,7 +107,7 @@
 	var written atomic.Int64
 	for range requests {
 		_, _, err := endlessConn(t, "HTTP/1.1 200 OK\r\nA: ", "x", &written).RoundTrip(t.Context(), getRequest())
-		require.ErrorIs(t, err, errHeadTooLarge)
+		require.ErrorIs(t, err, conn.ErrHeadTooLarge)
 	}
 	runtime.ReadMemStats(&after)
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(requests*maxBytesPerRequest))
@@ -115,10 +116,10 @@
 // A health check ends with the limit of the head, too.
 func TestEndlessHeadEndsAHealthCheck(t *testing.T) {
 	var written atomic.Int64
-	conn := endlessConn(t, "HTTP/1.1 200 OK\r\nA: ", "x", &written)
-	_, err := conn.CheckHealth(t.Context(), "h", "/health")
-	require.ErrorIs(t, err, errHeadTooLarge)
-	require.False(t, conn.isReusable())
+	c := endlessConn(t, "HTTP/1.1 200 OK\r\nA: ", "x", &written)
+	_, err := c.CheckHealth(t.Context(), "h", "/health")
+	require.ErrorIs(t, err, conn.ErrHeadTooLarge)
+	require.False(t, c.isReusable())
 }
 
 // Garbage that arrives a byte at a time never completes a head. The attempt ends
--- a/io/soak/memory_test.go
+++ b/io/soak/memory_test.go
@@ -32,46 +32,54 @@
 	return resident * float64(os.Getpagesize()) / (1 << 20)
 }
 
-// TestEntryStaysWithinItsMemory guards against an entry that is killed for its memory, with the
-// requests of all callers: upstreams whose server errors have no end, uploads of the largest size,
-// and callers that read nothing, one after the other and together.
-func TestEntryStaysWithinItsMemory(t *testing.T) {
+// memoryCase is a load on an entry beside which callers send requests.
+type memoryCase struct {
+	name  string
+	begin func(ctx context.Context, group *sync.WaitGroup)
+}
+
+const (
+	// memoryMB is the memory of the entry's instance.
+	memoryMB = 284
+	// memoryCallers is the number of callers beside each load.
+	memoryCallers = 72
+)
+
+// newMemoryCluster starts an entry and its upstreams.
+func newMemoryCluster(t *testing.T) *cluster {
+	const upstreams = 20
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	const memoryMB, upstreams, troubled, callers = 284, 20, 3, 72
 	cl, err := newCluster(Config{Binary: buildBinary(t), Dir: t.TempDir(), Entries: 1, Upstreams: upstreams, Seed: 4, MemoryMB: memoryMB})
-	defer cl.close()
+	t.Cleanup(cl.close)
 	require.NoError(t, err)
 	require.NoError(t, cl.waitReady(context.Background()))
 	time.Sleep(settleTime)
+	return cl
+}
+
+// setTroubled sets how three of the upstreams respond.
+func (cl *cluster) setTroubled(mode platform.ResponseMode) {
+	const troubled = 3
+	for _, u := range cl.upstreams[:troubled] {
+		u.latest().SetResponseMode(mode)
+	}
+}
+
+// requireWithinMemory requires that under each load the entry stays within its memory and serves more
+// than half of its callers.
+func (cl *cluster) requireWithinMemory(t *testing.T, cases []memoryCase) {
 	e := cl.entries[0]
 	peak := 0.0
-	endlessErrors := func() {
-		for _, u := range cl.upstreams[:troubled] {
-			u.latest().SetResponseMode(platform.EndlessError)
-		}
-	}
-	for _, c := range []struct {
-		name  string
-		begin func(ctx context.Context, group *sync.WaitGroup)
-	}{
-		{"endless errors", func(context.Context, *sync.WaitGroup) { endlessErrors() }},
-		{"uploads", func(ctx context.Context, group *sync.WaitGroup) { sendUploads(ctx, group, e, callers) }},
-		{"callers that do not read", func(ctx context.Context, group *sync.WaitGroup) { holdConnections(ctx, group, e, 2*callers) }},
-		{"together", func(ctx context.Context, group *sync.WaitGroup) {
-			endlessErrors()
-			sendUploads(ctx, group, e, callers)
-			holdConnections(ctx, group, e, 2*callers)
-		}},
-	} {
+	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 			defer cancel()
 			var group sync.WaitGroup
 			c.begin(ctx, &group)
 			var sent, served atomic.Int64
-			for i := range callers {
+			for i := range memoryCallers {
 				group.Go(func() {
 					client := &http.Client{Transport: &http.Transport{}}
 					for n := 0; ctx.Err() == nil; n++ {
@@ -103,6 +111,34 @@
 	}
 }
 
+// TestEntryStaysWithinItsMemory guards against an entry that is killed for its memory, with the
+// requests of all callers: upstreams whose server errors have no end, uploads of the largest size,
+// and callers that read nothing, one after the other and together.
+func TestEntryStaysWithinItsMemory(t *testing.T) {
+	cl := newMemoryCluster(t)
+	e := cl.entries[0]
+	cl.requireWithinMemory(t, []memoryCase{
+		{"endless errors", func(context.Context, *sync.WaitGroup) { cl.setTroubled(platform.EndlessError) }},
+		{"uploads", func(ctx context.Context, group *sync.WaitGroup) { sendUploads(ctx, group, e, memoryCallers) }},
+		{"callers that do not read", func(ctx context.Context, group *sync.WaitGroup) { holdConnections(ctx, group, e, 2*memoryCallers) }},
+		{"together", func(ctx context.Context, group *sync.WaitGroup) {
+			cl.setTroubled(platform.EndlessError)
+			sendUploads(ctx, group, e, memoryCallers)
+			holdConnections(ctx, group, e, 2*memoryCallers)
+		}},
+	})
+}
+
+// TestEndlessBytesStayWithinTheMemory guards against an entry that keeps what upstreams send without
+// end, in a head or in a body, and that is killed for its memory with the requests of all callers.
+func TestEndlessBytesStayWithinTheMemory(t *testing.T) {
+	cl := newMemoryCluster(t)
+	cl.requireWithinMemory(t, []memoryCase{
+		{"endless heads", func(context.Context, *sync.WaitGroup) { cl.setTroubled(platform.EndlessHead) }},
+		{"endless bodies", func(context.Context, *sync.WaitGroup) { cl.setTroubled(platform.EndlessBody) }},
+	})
+}
+
 // sendUploads uploads the largest bodies until ctx is done.
 func sendUploads(ctx context.Context, group *sync.WaitGroup, e *entry, callers int) {
 	body := make([]byte, 1<<20)
