Do not count an upstream that sends broken responses as crashed or unreached

Callers would have seen: a popular read refused for 30 s as one that crashes upstreams, because an upstream that began to send heads with blanks in names lost it twice. Since such heads are rejected, its health checks fail too, and with them the check that follows a lost request. The same failures counted as lost links of the entry.

Cause: the check for a crash and the record of reached upstreams took every failed health check for an upstream that cannot be reached. An upstream that sends a broken response runs, and is reached.

Change: link.IsBroken names these errors. They prove neither a crash nor a lost link, for this entry, for a neighbor that is asked as a witness, and for another entry that asks. The upstream still gets no requests for a limited time, as its health check fails.

Why this works: the decision rests on what the error shows about the path, not on whether the report in the response can be used.

--- a/io/serve/crash.go
+++ b/io/serve/crash.go
@@ -72,6 +72,9 @@
 		return false, ""
 	}
 	f.markUnreachable(r, err)
+	if link.IsBroken(err) {
+		return false, ""
+	}
 	neighbor, ok := f.findWitness(r, healthPath)
 	if !ok {
 		f.cfg.Log.Log(event.UpstreamLossUnconfirmed, "upstream", r.ID, "service", r.Service, "err", err)
@@ -107,7 +110,7 @@
 	if err != nil {
 		f.cfg.Log.Log(event.PeerCheckFailed, "upstream", id, "err", err)
 	}
-	return err == nil, !errors.Is(err, link.ErrWrongInstance)
+	return err == nil || link.IsBroken(err), !errors.Is(err, link.ErrWrongInstance)
 }
 
 // findWitness returns a neighbor of an upstream that accepts a new connection and
@@ -121,7 +124,7 @@
 		if !f.spendProbe() {
 			break
 		}
-		if f.checkNewConn(n, f.healthPathOf(n.Service, healthPath)) == nil {
+		if err := f.checkNewConn(n, f.healthPathOf(n.Service, healthPath)); err == nil || link.IsBroken(err) {
 			return n, true
 		}
 	}
--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -167,7 +167,7 @@
 	f.mu.Lock()
 	now := time.Now()
 	isNew := f.fleet.MarkUnreachable(now, r.ID)
-	if !errors.Is(err, link.ErrWrongInstance) {
+	if !errors.Is(err, link.ErrWrongInstance) && !link.IsBroken(err) {
 		f.recordFailure(now, r)
 	}
 	f.mu.Unlock()
