review: show that another caller's success lets a crashing request through

Cause: serve.fingerprintOf leaves out the caller. A success of another caller with the same path and body deletes the losses of the request, and makes further ones count for nothing for 5 s.

--- a/review/standin-2/case.go
+++ b/review/standin-2/case.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	_ "embed"
 	"fmt"
@@ -19,7 +20,18 @@
 //go:embed config.json
 var routingConfig []byte
 
+// accountsField is the field of the configuration with two client accounts, and crashKey and otherKey
+// are their keys.
+//
+//go:embed accounts.json
+var accountsField []byte
+
 const (
+	crashKey     = "k-5d20c1"
+	otherKey     = "k-77e0a4"
+	otherAccount = "crew-b"
+	// twinPause is the time between two requests of the caller whose request crashes nothing.
+	twinPause = 500 * time.Millisecond
 	// targetsPerZone is the number of targets of each service in each zone.
 	targetsPerZone = 6
 	// stable is stable-ms of the settings.
@@ -43,7 +55,7 @@
 type config struct {
 	program, recordPath string
 	isDark, hasTrouble  bool
-	isSmuggled          bool
+	isSmuggled, hasTwin bool
 	seconds             int
 }
 
@@ -51,6 +63,7 @@
 type attempt struct {
 	at, end    time.Time
 	id, path   string
+	key        string
 	entry      string
 	status     int
 	retryAfter string
@@ -61,6 +74,7 @@
 type caller struct {
 	client    *http.Client
 	directory []string
+	hasTwin   bool
 	mu        sync.Mutex
 	attempts  []attempt
 	next      int
@@ -75,7 +89,11 @@
 	defer os.RemoveAll(folder)
 	store := stand.NewStore()
 	defer store.Close()
-	store.Put(fmt.Sprintf("op/%s", "config"), routingConfig)
+	routing := routingConfig
+	if cfg.hasTwin {
+		routing = bytes.Replace(routing, []byte("{"), append([]byte("{"), accountsField...), 1)
+	}
+	store.Put(fmt.Sprintf("op/%s", "config"), routing)
 	f := &fleet{store: store, isDark: cfg.isDark, hasTrouble: cfg.hasTrouble, answered: map[string]bool{}}
 	defer f.close()
 	for i := range targetsPerZone * len(zones) {
@@ -113,6 +131,7 @@
 		return playSmuggled(cfg, f, entries)
 	}
 	c := newCaller(entries)
+	c.hasTwin = cfg.hasTwin
 	start := time.Now()
 	c.play(start.Add(time.Duration(cfg.seconds) * time.Second))
 	return judge(cfg, start, f, c)
@@ -134,19 +153,27 @@
 			for i := 0; time.Now().Before(until); i++ {
 				switch i % 4 {
 				case 0:
-					c.send(http.MethodGet, fmt.Sprintf("/view/%d", rand.IntN(1_000_000)), nil)
+					c.send(otherKey, http.MethodGet, fmt.Sprintf("/view/%d", rand.IntN(1_000_000)), nil)
 				case 1:
-					c.send(http.MethodGet, fmt.Sprintf("/history/%d", rand.IntN(1_000_000)), nil)
+					c.send(otherKey, http.MethodGet, fmt.Sprintf("/history/%d", rand.IntN(1_000_000)), nil)
 				default:
-					c.send(http.MethodPost, fmt.Sprintf("/scan/%d", rand.IntN(1_000_000)), make([]byte, uploadBytes))
+					c.send(otherKey, http.MethodPost, fmt.Sprintf("/scan/%d", rand.IntN(1_000_000)), make([]byte, uploadBytes))
 				}
 				time.Sleep(callerPause)
 			}
 		})
 	}
+	if c.hasTwin {
+		group.Go(func() {
+			for time.Now().Before(until) {
+				c.send(otherKey, http.MethodGet, crashPath, nil)
+				time.Sleep(twinPause)
+			}
+		})
+	}
 	for time.Now().Before(until) {
 		next := time.Now().Add(comeInterval)
-		c.send(http.MethodGet, crashPath, nil)
+		c.send(crashKey, http.MethodGet, crashPath, nil)
 		time.Sleep(time.Until(next))
 	}
 	group.Wait()
@@ -154,10 +181,10 @@
 
 // send sends a request, and retries it as a client does: a safe one after any failure, another one
 // only after a promise that it was not run.
-func (c *caller) send(method, path string, body []byte) {
+func (c *caller) send(key, method, path string, body []byte) {
 	end := time.Now().Add(deadline)
 	for range 1 + maxRetries {
-		a := c.try(method, path, body, time.Until(end))
+		a := c.try(key, method, path, body, time.Until(end))
 		isPromise := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests || a.status == http.StatusRequestTimeout
 		if a.status == http.StatusOK || (method != http.MethodGet && !isPromise) || !time.Now().Before(end) {
 			return
@@ -173,19 +200,22 @@
 }
 
 // try makes one attempt on a new connection.
-func (c *caller) try(method, path string, body []byte, left time.Duration) attempt {
+func (c *caller) try(key, method, path string, body []byte, left time.Duration) attempt {
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	c.mu.Lock()
 	c.next++
 	id := fmt.Sprintf("%016x", 0x9c41d07b00000000+uint64(c.next))
 	c.mu.Unlock()
-	a := attempt{at: time.Now(), id: id, path: path}
+	a := attempt{at: time.Now(), id: id, path: path, key: key}
+	if !c.hasTwin {
+		key = ""
+	}
 	addresses, err := stand.Resolve(ctx, c.client, c.directory[rand.IntN(len(c.directory))], "bagmati")
 	if err == nil {
 		a.entry = addresses[rand.IntN(len(addresses))]
 		var resp stand.Response
-		resp, err = stand.Send(ctx, c.client, a.entry, stand.Request{ID: id, Method: method, Path: path, Body: body, Timeout: left})
+		resp, err = stand.Send(ctx, c.client, a.entry, stand.Request{ID: id, Method: method, Path: path, Body: body, Timeout: left, Key: key})
 		a.status, a.retryAfter = resp.Status, resp.RetryAfter
 	}
 	a.end, a.err = time.Now(), err
@@ -216,7 +246,7 @@
 	late, lateRetries := 0, 0
 	fmt.Fprintf(out, "trouble %t, targets %d of each service, entries %d, seconds %d\n\nthe request that crashes targets, as it reached them:\n", cfg.hasTrouble, targetsPerZone*len(zones), entryCount, cfg.seconds)
 	for _, a := range f.arrivals {
-		if a.path != crashPath {
+		if !a.crashes() {
 			continue
 		}
 		isRetry := arrived[a.id]
@@ -242,7 +272,7 @@
 			outcome = "no answer"
 		}
 		kind, _, _ := strings.Cut(strings.TrimPrefix(a.path, "/"), "/")
-		if a.path == crashPath {
+		if a.path == crashPath && a.key == crashKey {
 			fmt.Fprintf(out, "%8.3f s request %s to %s: %s after %.3f s, Retry-After %q\n", since(a.at), a.id, a.entry, outcome, a.end.Sub(a.at).Seconds(), a.retryAfter)
 			continue
 		}
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -45,9 +45,15 @@
 	id, target string
 	method     string
 	path       string
+	account    string
 	bodyBytes  int
 }
 
+// crashes reports whether the arrival is one of the request that crashes targets.
+func (a arrival) crashes() bool {
+	return a.path == crashPath && a.account != otherAccount
+}
+
 // fleet holds the targets and what they have run.
 type fleet struct {
 	store      *stand.Store
@@ -150,10 +156,11 @@
 	defer t.release()
 	t.silentIfCrashed()
 	f := t.fleet
+	a := arrival{at: time.Now(), id: id, target: t.id, method: r.Method, path: r.URL.Path, account: r.Header.Get(headers.Account), bodyBytes: len(body)}
 	f.mu.Lock()
-	f.arrivals = append(f.arrivals, arrival{at: time.Now(), id: id, target: t.id, method: r.Method, path: r.URL.Path, bodyBytes: len(body)})
+	f.arrivals = append(f.arrivals, a)
 	f.mu.Unlock()
-	if r.URL.Path == crashPath && f.hasTrouble {
+	if a.crashes() && f.hasTrouble {
 		t.once.Do(t.crash)
 	}
 	work := readTime
