--- a/review/standin-2/case.go
+++ b/review/standin-2/case.go
@@ -31,7 +31,7 @@
 	otherKey     = "k-77e0a4"
 	otherAccount = "crew-b"
 	// twinPause is the time between two requests of the caller whose request crashes nothing.
-	twinPause = 500 * time.Millisecond
+	twinPause = 100 * time.Millisecond
 	// targetsPerZone is the number of targets of each service in each zone.
 	targetsPerZone = 6
 	// stable is stable-ms of the settings.
